Set down the shape and one path from caller to upstream

Cause: the repository was empty.

Cores without I/O (fair, limit, route, retry, grant, roster, audit, contr, disp, slot); tasks around them that own sockets and state (entry, agent, link, plog); stand-ins of the log, upstreams and a silent path; a local deployment that runs it all on loopback.

--- /dev/null
+++ b/internal/agent/frames.go
@@ -0,0 +1,84 @@
+package agent
+
+import (
+	"github.com/turmericbarrow/turmericbarrow/internal/clock"
+	"github.com/turmericbarrow/turmericbarrow/internal/slot"
+	"github.com/turmericbarrow/turmericbarrow/internal/wire"
+)
+
+func taskOf(entry string, m *wire.Start, now clock.Millis) slot.Task {
+	return slot.Task{
+		Entry:       entry,
+		Ask:         m.GetAsk(),
+		Request:     m.GetRequest(),
+		Customer:    m.GetCustomer(),
+		Kind:        m.GetKind(),
+		Key:         m.GetKey(),
+		Index:       int(m.GetTask()),
+		Idempotent:  m.GetIdempotent(),
+		Deadline:    now + clock.Millis(m.GetTimeoutMs()),
+		CostMS:      m.GetCostMs(),
+		ContentType: m.GetContentType(),
+		Payload:     m.GetPayload(),
+	}
+}
+
+var outcomes = map[slot.Status]wire.Outcome{
+	slot.StatusOK:     wire.Outcome_OUTCOME_OK,
+	slot.StatusFailed: wire.Outcome_OUTCOME_FAILED,
+	slot.StatusNotRun: wire.Outcome_OUTCOME_NOT_RUN,
+	slot.StatusMaybe:  wire.Outcome_OUTCOME_MAYBE,
+}
+
+func doneFrame(a slot.Answer) *wire.Frame {
+	return &wire.Frame{Body: &wire.Frame_Done{Done: &wire.Done{
+		Ask:         a.Ask,
+		Outcome:     outcomes[a.Outcome.Status],
+		ContentType: a.Outcome.Result.ContentType,
+		Body:        a.Outcome.Result.Body,
+		Detail:      a.Outcome.Detail,
+		Fault:       a.Outcome.Fault,
+		ServiceMs:   int64(a.ServiceMS),
+		QueuedMs:    int64(a.QueuedMS),
+		Load:        loadOf(a.Load),
+		Others: &wire.Use{
+			SlotMs:  int64(a.Others.SlotMS),
+			Starts:  a.Others.Starts,
+			Running: int32(a.Others.Running),
+		},
+		Leaving: a.Leaving,
+	}}}
+}
+
+func loadOf(l slot.Load) *wire.Load {
+	return &wire.Load{Running: int32(l.Running), Queued: int32(l.Queued), Window: int32(l.Window)}
+}
+
+func foundFrame(ask uint64, tasks []slot.KeptTask) *wire.Frame {
+	m := &wire.Found{Ask: ask}
+	for _, t := range tasks {
+		m.Tasks = append(m.Tasks, &wire.FoundTask{
+			Task:     int32(t.Index),
+			Complete: t.Complete,
+			Result:   &wire.Result{ContentType: t.Result.ContentType, Body: t.Result.Body},
+		})
+	}
+	return &wire.Frame{Body: &wire.Frame_Found{Found: m}}
+}
+
+func (a *Agent) heartbeat(entry string) *wire.Frame {
+	h := &wire.Heartbeat{
+		ConfigVersion: a.book.Version,
+		Load:          loadOf(a.core.LoadFor(entry)),
+		Draining:      a.draining,
+	}
+	if u := a.core.Upstream; u != nil {
+		h.Upstream = &wire.Upstream{
+			Name:    u.Name,
+			Slots:   int32(u.Slots),
+			Kinds:   u.Kinds,
+			Leaving: a.core.Leaving,
+		}
+	}
+	return &wire.Frame{Body: &wire.Frame_Heartbeat{Heartbeat: h}}
+}
--- /dev/null
+++ b/internal/contr/wire.go
@@ -0,0 +1,40 @@
+package contr
+
+import (
+	"strings"
+
+	"github.com/turmericbarrow/turmericbarrow/internal/wire"
+)
+
+// Customer returns whose contract a document is, if it is one.
+func (d Document) Customer() (string, bool) {
+	return strings.CutPrefix(d.Name, PrefixContract)
+}
+
+// DocumentsOf decodes the documents of a configuration message.
+func DocumentsOf(m *wire.Config) []Document {
+	ds := make([]Document, 0, len(m.GetDocuments()))
+	for _, d := range m.GetDocuments() {
+		ds = append(ds, Document{
+			Name:    d.GetName(),
+			Version: d.GetVersion(),
+			Text:    d.GetText(),
+			Deleted: d.GetDeleted(),
+		})
+	}
+	return ds
+}
+
+// ConfigOf encodes documents at a version.
+func ConfigOf(version int64, documents []Document) *wire.Config {
+	m := &wire.Config{Version: version}
+	for _, d := range documents {
+		m.Documents = append(m.Documents, &wire.Document{
+			Name:    d.Name,
+			Version: d.Version,
+			Text:    d.Text,
+			Deleted: d.Deleted,
+		})
+	}
+	return m
+}
--- /dev/null
+++ b/internal/disp/agents.go
@@ -0,0 +1,278 @@
+package disp
+
+import (
+	"github.com/turmericbarrow/turmericbarrow/internal/clock"
+	"github.com/turmericbarrow/turmericbarrow/internal/contr"
+	"github.com/turmericbarrow/turmericbarrow/internal/host"
+	"github.com/turmericbarrow/turmericbarrow/internal/reply"
+	"github.com/turmericbarrow/turmericbarrow/internal/route"
+	"github.com/turmericbarrow/turmericbarrow/internal/zone"
+)
+
+// OutcomeType is how an attempt ended.
+type OutcomeType int
+
+// The outcomes of an attempt.
+const (
+	// OutcomeOK: the upstream's whole answer is there.
+	OutcomeOK OutcomeType = iota
+	// OutcomeFailed: the upstream ran the task and failed.
+	OutcomeFailed
+	// OutcomeNotRun: the agent is certain that the task did not start.
+	OutcomeNotRun
+	// OutcomeMaybe: the task may have run.
+	OutcomeMaybe
+)
+
+// Use is what other entries have used at one agent for one customer, summed up
+// since the agent started.
+type Use struct {
+	SlotMS  clock.Millis
+	Starts  int64
+	Running int
+}
+
+// useKey names a figure of one agent for one customer.
+type useKey struct {
+	agent    string
+	customer string
+}
+
+// Outcome is an agent's answer to a Start.
+type Outcome struct {
+	Type   OutcomeType
+	Result reply.Result
+	// Detail says why the outcome is not OutcomeOK.
+	Detail string
+	// Fault is set with OutcomeNotRun when the upstream could not be reached.
+	Fault     bool
+	ServiceMS clock.Millis
+	// Window is this entry's new window at the agent; zero leaves it as it is.
+	Window int
+	Others Use
+	// Leaving is set when the upstream takes no new work.
+	Leaving bool
+}
+
+// AgentState is what an agent tells of its upstream.
+type AgentState struct {
+	Agent   host.Host
+	Name    string
+	Slots   int
+	Kinds   []string
+	Leaving bool
+	Window  int
+}
+
+// SetAgent puts an upstream into the fleet or updates it.
+func (d *Dispatcher) SetAgent(s AgentState, now clock.Millis) {
+	u := d.Fleet.Get(s.Agent.Incarnation)
+	if u == nil {
+		d.Fleet.Add(route.Upstream{
+			ID:        s.Agent.Incarnation,
+			Name:      s.Name,
+			Window:    s.Window,
+			RoundTrip: zone.RoundTrip(d.Self.Place, s.Agent.Place),
+		})
+		u = d.Fleet.Get(s.Agent.Incarnation)
+	}
+	u.Name = s.Name
+	u.Slots = s.Slots
+	u.Kinds = map[string]bool{}
+	for _, k := range s.Kinds {
+		u.Kinds[k] = true
+	}
+	if s.Window > 0 {
+		u.Window = s.Window
+	}
+	d.setLeaving(u, s.Leaving, s.Agent.Name)
+	d.Order.SetSlots(d.Fleet.Slots())
+	d.dispatch(now)
+}
+
+func (d *Dispatcher) setLeaving(u *route.Upstream, leaving bool, hostName string) {
+	if d.Book.Retired(contr.PrefixUpstream, u.Name) {
+		d.Fleet.SetLeaving(u.ID, true, "retired by an operator")
+		return
+	}
+	if d.Book.Retired(contr.PrefixHost, hostName) {
+		d.Fleet.SetLeaving(u.ID, true, "its host is retired by an operator")
+		return
+	}
+	d.Fleet.SetLeaving(u.ID, leaving, "the upstream is leaving")
+}
+
+// AgentGone takes an upstream out. What it had may have run.
+func (d *Dispatcher) AgentGone(agent, why string, now clock.Millis) {
+	d.Fleet.Remove(agent)
+	d.Order.SetSlots(d.Fleet.Slots())
+	for key, use := range d.uses {
+		if key.agent == agent {
+			d.Order.ChargeOthers(key.customer, 0, -use.Running)
+			delete(d.uses, key)
+		}
+	}
+	for _, ask := range d.attemptsAt(agent) {
+		d.settle(d.attempts[ask], Outcome{Type: OutcomeMaybe, Detail: "link to the agent lost: " + why}, now)
+	}
+	for _, f := range d.finds {
+		d.foundAt(f, agent, nil)
+	}
+	d.dispatch(now)
+}
+
+func (d *Dispatcher) attemptsAt(agent string) []Ask {
+	var asks []Ask
+	for ask, a := range d.attempts {
+		if a.agent == agent {
+			asks = append(asks, ask)
+		}
+	}
+	return asks
+}
+
+// Done takes an agent's answer. One that comes twice or too late changes nothing.
+func (d *Dispatcher) Done(agent string, ask Ask, o Outcome, now clock.Millis) {
+	d.Figures.Messages++
+	if u := d.Fleet.Get(agent); u != nil && o.Window > 0 {
+		u.Window = o.Window
+	}
+	if o.Leaving {
+		d.Fleet.SetLeaving(agent, true, "the upstream is leaving")
+	}
+	a := d.attempts[ask]
+	if a == nil || a.agent != agent {
+		d.Figures.Wasted++
+		return
+	}
+	d.learnUse(agent, a.item.Flow.Customer, o.Others, now)
+	d.settle(a, o, now)
+	d.dispatch(now)
+}
+
+// learnUse counts what other entries used since the last answer of this agent.
+func (d *Dispatcher) learnUse(agent, customer string, use Use, now clock.Millis) {
+	key := useKey{agent: agent, customer: customer}
+	before, known := d.uses[key]
+	d.uses[key] = use
+	running := use.Running - before.Running
+	if !known {
+		before = use
+	}
+	d.Order.ChargeOthers(customer, float64(use.SlotMS-before.SlotMS), running)
+	d.Limits.TakeOthers(customer, int(use.Starts-before.Starts), now)
+}
+
+// settle counts an attempt's end and moves its work on.
+func (d *Dispatcher) settle(a *attempt, o Outcome, now clock.Millis) {
+	delete(d.attempts, a.ask)
+	d.stopTimer(a.timer)
+	w := a.work
+	t := &w.tasks[a.task]
+	t.dropAsk(a.ask)
+	d.Fleet.Finished(a.agent, route.Outcome{
+		Kind:      a.item.Flow.Kind,
+		Failed:    o.Type == OutcomeFailed || o.Type == OutcomeMaybe || o.Fault,
+		NotRun:    o.Type == OutcomeNotRun || (a.cancelled && o.Type != OutcomeOK),
+		ServiceMS: float64(max(1, o.ServiceMS)),
+		Reason:    o.Detail,
+	}, now)
+	if o.Type == OutcomeNotRun {
+		d.Order.Returned(a.item)
+		w.notRun++
+	} else {
+		d.Order.Finished(a.item, float64(o.ServiceMS))
+	}
+	if w.ended || t.done {
+		return
+	}
+	d.advance(w, a, o, now)
+}
+
+func (t *taskState) dropAsk(ask Ask) {
+	for i := range t.asks {
+		if t.asks[i] == ask {
+			t.asks = append(t.asks[:i], t.asks[i+1:]...)
+			return
+		}
+	}
+}
+
+// advance decides what follows from an attempt's end.
+func (d *Dispatcher) advance(w *work, a *attempt, o Outcome, now clock.Millis) {
+	t := &w.tasks[a.task]
+	if o.Type == OutcomeOK {
+		d.taskDone(w, a.task, o.Result, now)
+		return
+	}
+	if len(t.asks) > 0 {
+		return // the hedge is still running
+	}
+	if d.mayTryAgain(w, o, now) {
+		d.tryAgain(w, a, now)
+		return
+	}
+	d.end(w, reply.Answer{Request: w.sub.Request, Problem: d.failure(w, o)}, now)
+}
+
+// maxNotRun bounds how often the tasks of a submission are sent again after "not
+// run": with every upstream unreachable they would otherwise go round without rest.
+const maxNotRun = 8
+
+// mayTryAgain reports whether a task may be sent again: after "not run" always,
+// after a possible start only an idempotent one, within the contract's budget.
+func (d *Dispatcher) mayTryAgain(w *work, o Outcome, now clock.Millis) bool {
+	if now >= w.sub.Deadline {
+		return false
+	}
+	if o.Type == OutcomeNotRun {
+		return w.notRun < maxNotRun+len(w.tasks)
+	}
+	return w.sub.Idempotent && !w.sub.Job && d.Budgets.Spend(w.sub.Customer)
+}
+
+func (d *Dispatcher) tryAgain(w *work, a *attempt, now clock.Millis) {
+	t := &w.tasks[a.task]
+	if t.avoid == nil {
+		t.avoid = map[string]bool{}
+	}
+	t.avoid[a.agent] = true
+	d.Figures.Retried++
+	d.Figures.Wasted += 2
+	d.enqueue(w, a.task, now, true)
+}
+
+func (d *Dispatcher) failure(w *work, o Outcome) *reply.Problem {
+	p := &reply.Problem{Type: reply.TypeFailed, Ran: reply.RanYes, Detail: o.Detail, Version: w.version}
+	switch o.Type {
+	case OutcomeMaybe:
+		p.Type = reply.TypeFateUnknown
+		p.Ran = reply.RanMaybe
+	case OutcomeNotRun:
+		p.Type = reply.TypeNoUpstream
+		p.Ran = w.ran()
+		p.RetryAfter = noUpstreamRetryMS
+	}
+	return p
+}
+
+func (d *Dispatcher) taskDone(w *work, task int, r reply.Result, now clock.Millis) {
+	t := &w.tasks[task]
+	t.done = true
+	t.result = r
+	w.left--
+	d.cancelAttempts(t)
+	if w.left > 0 {
+		return
+	}
+	a := reply.Answer{Request: w.sub.Request, Results: make([]reply.Result, len(w.tasks))}
+	for i := range w.tasks {
+		a.Results[i] = w.tasks[i].result
+	}
+	d.end(w, a, now)
+}
+
+// SetAgentLeaving stops new work for an upstream.
+func (d *Dispatcher) SetAgentLeaving(agent, reason string) {
+	d.Fleet.SetLeaving(agent, true, reason)
+}
--- /dev/null
+++ b/internal/disp/follow.go
@@ -0,0 +1,83 @@
+package disp
+
+import (
+	"strings"
+
+	"github.com/turmericbarrow/turmericbarrow/internal/clock"
+	"github.com/turmericbarrow/turmericbarrow/internal/contr"
+	"github.com/turmericbarrow/turmericbarrow/internal/grant"
+	"github.com/turmericbarrow/turmericbarrow/internal/host"
+)
+
+// Granted applies one grant record of the log, which also announces its entry.
+func (d *Dispatcher) Granted(offset int64, h host.Host, claims []grant.Claim, leaving bool, now clock.Millis) {
+	if offset <= d.Ledger.Applied {
+		return
+	}
+	d.Ledger.Apply(offset, h.Incarnation, claims)
+	d.Roster.Seen(h, now)
+	if leaving {
+		d.Roster.SetLeaving(h.Incarnation)
+	}
+}
+
+// GrantsRead tells that the records read so far have been applied.
+func (d *Dispatcher) GrantsRead(now clock.Millis) {
+	d.retryParked(now)
+	d.dispatch(now)
+}
+
+// Claims returns what this incarnation should ask the log for now.
+func (d *Dispatcher) Claims(now clock.Millis) []grant.Claim {
+	if !d.Ledger.Based || d.Draining {
+		return nil
+	}
+	incarnations := []string{d.Self.Incarnation}
+	for _, m := range d.Roster.Up(now) {
+		if m.Host.Incarnation != d.Self.Incarnation && m.Host.Place.Region == d.Self.Place.Region {
+			incarnations = append(incarnations, m.Host.Incarnation)
+		}
+	}
+	var mine []grant.Range
+	for r := grant.Range(0); r < grant.RangeCount; r++ {
+		if grant.Preferred(r, incarnations) == d.Self.Incarnation {
+			mine = append(mine, r)
+		}
+	}
+	return d.Ledger.Propose(mine, now, now+d.HorizonMS)
+}
+
+// Expire forgets what has left the window.
+func (d *Dispatcher) Expire(now clock.Millis) {
+	d.Table.Expire(now)
+	d.Ledger.Forget(now - 2*d.Keys.Window)
+	d.Roster.Expire(now)
+	d.forgetKept(now)
+}
+
+// ConfigChanged puts the contracts of the book in force.
+func (d *Dispatcher) ConfigChanged(changed []contr.Document, now clock.Millis) {
+	for _, doc := range changed {
+		customer, isContract := strings.CutPrefix(doc.Name, contr.PrefixContract)
+		if isContract {
+			d.contractChanged(customer, now)
+		}
+	}
+	for _, u := range d.Fleet.All() {
+		if d.Book.Retired(contr.PrefixUpstream, u.Name) {
+			d.Fleet.SetLeaving(u.ID, true, "retired by an operator")
+		}
+	}
+	d.dispatch(now)
+}
+
+func (d *Dispatcher) contractChanged(customer string, now clock.Millis) {
+	c := d.Book.Contracts[customer]
+	if c == nil {
+		d.Order.RemoveContract(customer)
+		d.Limits.RemoveContract(customer)
+		return
+	}
+	d.Order.SetContract(c)
+	d.Limits.SetContract(c, now)
+}
--- /dev/null
+++ b/internal/entry/frames.go
@@ -0,0 +1,315 @@
+package entry
+
+import (
+	"github.com/turmericbarrow/turmericbarrow/internal/clock"
+	"github.com/turmericbarrow/turmericbarrow/internal/contr"
+	"github.com/turmericbarrow/turmericbarrow/internal/disp"
+	"github.com/turmericbarrow/turmericbarrow/internal/grant"
+	"github.com/turmericbarrow/turmericbarrow/internal/host"
+	"github.com/turmericbarrow/turmericbarrow/internal/link"
+	"github.com/turmericbarrow/turmericbarrow/internal/reply"
+	"github.com/turmericbarrow/turmericbarrow/internal/wire"
+)
+
+// This file translates between the dispatcher's types and the links' messages.
+
+func startFrame(a disp.Start, b disp.Backlog) *wire.Frame {
+	return &wire.Frame{Body: &wire.Frame_Start{Start: &wire.Start{
+		Ask:         uint64(a.Ask),
+		Request:     a.Request,
+		Customer:    a.Customer,
+		Kind:        a.Kind,
+		Key:         a.Key,
+		Task:        int32(a.TaskIndex),
+		Idempotent:  a.Idempotent,
+		TimeoutMs:   int64(a.Timeout),
+		CostMs:      a.CostMS,
+		ContentType: a.Task.ContentType,
+		Payload:     a.Task.Payload,
+		Backlog:     backlogOf(b),
+	}}}
+}
+
+func backlogOf(b disp.Backlog) *wire.Backlog {
+	return &wire.Backlog{Waiting: int32(b.Waiting), Weight: b.Weight}
+}
+
+func cancelFrame(a disp.Cancel) *wire.Frame {
+	return &wire.Frame{Body: &wire.Frame_Cancel{Cancel: &wire.Cancel{Ask: uint64(a.Ask)}}}
+}
+
+func findFrame(a disp.Find) *wire.Frame {
+	return &wire.Frame{Body: &wire.Frame_Find{Find: &wire.Find{
+		Ask: uint64(a.Ask), Customer: a.Customer, Key: a.Key}}}
+}
+
+func withdrawFrame(a disp.Withdraw) *wire.Frame {
+	return &wire.Frame{Body: &wire.Frame_Withdraw{Withdraw: &wire.Withdraw{Ask: uint64(a.Ask)}}}
+}
+
+func submitFrame(a disp.Forward) *wire.Frame {
+	s := a.Submission
+	m := &wire.Submit{
+		Ask:        uint64(a.Ask),
+		Request:    s.Request,
+		Customer:   s.Customer,
+		Kind:       s.Kind,
+		Key:        s.Key.Text,
+		Idempotent: s.Idempotent,
+		Job:        s.Job,
+		TimeoutMs:  int64(a.Timeout),
+		Lookup:     s.Lookup,
+		Cancel:     s.Cancel,
+	}
+	for _, t := range s.Tasks {
+		m.Tasks = append(m.Tasks, &wire.Task{ContentType: t.ContentType, Payload: t.Payload})
+	}
+	return &wire.Frame{Body: &wire.Frame_Submit{Submit: m}}
+}
+
+// submissionOf decodes a forwarded submission. A key that can't be read belongs to
+// nobody, and the dispatcher refuses it.
+func submissionOf(m *wire.Submit, c disp.Caller, now clock.Millis) disp.Submission {
+	key, err := grant.ParseKey(m.GetKey())
+	if err != nil {
+		key = grant.Key{Text: m.GetKey()}
+	}
+	s := disp.Submission{
+		Caller:     c,
+		Request:    m.GetRequest(),
+		Customer:   m.GetCustomer(),
+		Kind:       m.GetKind(),
+		Key:        key,
+		Idempotent: m.GetIdempotent(),
+		Job:        m.GetJob(),
+		Deadline:   now + clock.Millis(m.GetTimeoutMs()),
+		Forwarded:  true,
+		Lookup:     m.GetLookup(),
+		Cancel:     m.GetCancel(),
+	}
+	for _, t := range m.GetTasks() {
+		s.Tasks = append(s.Tasks, disp.Task{ContentType: t.GetContentType(), Payload: t.GetPayload()})
+	}
+	return s
+}
+
+func answeredFrame(ask uint64, a reply.Answer) *wire.Frame {
+	return &wire.Frame{Body: &wire.Frame_Answered{Answered: &wire.Answered{Ask: ask, Answer: encodeAnswer(a)}}}
+}
+
+// The states of an answer on a link.
+const (
+	stateComplete = "complete"
+	statePending  = "pending"
+	stateProblem  = "problem"
+)
+
+func encodeAnswer(a reply.Answer) *wire.Answer {
+	m := &wire.Answer{Request: a.Request, State: stateComplete}
+	for _, r := range a.Results {
+		m.Results = append(m.Results, &wire.Result{ContentType: r.ContentType, Body: r.Body})
+	}
+	if a.Pending {
+		m.State = statePending
+	}
+	if p := a.Problem; p != nil {
+		m.State = stateProblem
+		m.Problem = &wire.Problem{
+			Type:            string(p.Type),
+			Detail:          p.Detail,
+			Ran:             string(p.Ran),
+			Line:            p.Line,
+			ContractVersion: p.Version,
+			RetryAfterMs:    int64(p.RetryAfter),
+		}
+	}
+	return m
+}
+
+func answerOf(m *wire.Answer) reply.Answer {
+	a := reply.Answer{Request: m.GetRequest(), Pending: m.GetState() == statePending}
+	for _, r := range m.GetResults() {
+		a.Results = append(a.Results, reply.Result{ContentType: r.GetContentType(), Body: r.GetBody()})
+	}
+	if p := m.GetProblem(); p != nil {
+		a.Problem = &reply.Problem{
+			Type:       reply.Type(p.GetType()),
+			Detail:     p.GetDetail(),
+			Ran:        reply.Ran(p.GetRan()),
+			Line:       p.GetLine(),
+			Version:    p.GetContractVersion(),
+			RetryAfter: clock.Millis(p.GetRetryAfterMs()),
+		}
+	}
+	return a
+}
+
+var outcomeTypes = map[wire.Outcome]disp.OutcomeType{
+	wire.Outcome_OUTCOME_OK:      disp.OutcomeOK,
+	wire.Outcome_OUTCOME_FAILED:  disp.OutcomeFailed,
+	wire.Outcome_OUTCOME_NOT_RUN: disp.OutcomeNotRun,
+	wire.Outcome_OUTCOME_MAYBE:   disp.OutcomeMaybe,
+}
+
+// outcomeOf decodes an agent's answer. An outcome that this version does not know
+// may have run.
+func outcomeOf(m *wire.Done) disp.Outcome {
+	t, known := outcomeTypes[m.GetOutcome()]
+	if !known {
+		t = disp.OutcomeMaybe
+	}
+	return disp.Outcome{
+		Type:      t,
+		Result:    reply.Result{ContentType: m.GetContentType(), Body: m.GetBody()},
+		Detail:    m.GetDetail(),
+		Fault:     m.GetFault(),
+		ServiceMS: clock.Millis(m.GetServiceMs()),
+		Window:    int(m.GetLoad().GetWindow()),
+		Others: disp.Use{
+			SlotMS:  clock.Millis(m.GetOthers().GetSlotMs()),
+			Starts:  m.GetOthers().GetStarts(),
+			Running: int(m.GetOthers().GetRunning()),
+		},
+		Leaving: m.GetLeaving(),
+	}
+}
+
+func foundOf(m *wire.Found) []disp.FoundTask {
+	var out []disp.FoundTask
+	for _, t := range m.GetTasks() {
+		out = append(out, disp.FoundTask{
+			Task:     int(t.GetTask()),
+			Complete: t.GetComplete(),
+			Result:   reply.Result{ContentType: t.GetResult().GetContentType(), Body: t.GetResult().GetBody()},
+		})
+	}
+	return out
+}
+
+func agentStateOf(h host.Host, m *wire.Heartbeat) disp.AgentState {
+	u := m.GetUpstream()
+	return disp.AgentState{
+		Agent:   h,
+		Name:    u.GetName(),
+		Slots:   int(u.GetSlots()),
+		Kinds:   u.GetKinds(),
+		Leaving: u.GetLeaving() || m.GetDraining(),
+		Window:  int(m.GetLoad().GetWindow()),
+	}
+}
+
+// handoverPart is the number of answers in one frame of a handover.
+const handoverPart = 64
+
+func handoverFrames(h disp.Handover) []*wire.Frame {
+	var frames []*wire.Frame
+	for {
+		n := min(handoverPart, len(h.Answers))
+		m := &wire.Handover{Incarnation: h.Incarnation, Last: n == len(h.Answers), FloorMs: int64(h.Floor)}
+		for _, a := range h.Answers[:n] {
+			m.Answers = append(m.Answers, &wire.KeptAnswer{
+				Customer: a.ID.Customer, Key: a.ID.Key, Answer: encodeAnswer(a.Answer)})
+		}
+		h.Answers = h.Answers[n:]
+		frames = append(frames, &wire.Frame{Body: &wire.Frame_Handover{Handover: m}})
+		if m.Last {
+			return frames
+		}
+	}
+}
+
+func handoverOf(m *wire.Handover) disp.Handover {
+	h := disp.Handover{Incarnation: m.GetIncarnation(), Last: m.GetLast(), Floor: clock.Millis(m.GetFloorMs())}
+	for _, k := range m.GetAnswers() {
+		h.Answers = append(h.Answers, disp.KeptAnswer{
+			ID:     grant.ID{Customer: k.GetCustomer(), Key: k.GetKey()},
+			Answer: answerOf(k.GetAnswer()),
+		})
+	}
+	return h
+}
+
+func configFrame(version int64, ds []contr.Document) *wire.Frame {
+	return &wire.Frame{Body: &wire.Frame_Config{Config: contr.ConfigOf(version, ds)}}
+}
+
+func (e *Entry) heartbeat() *wire.Frame {
+	return &wire.Frame{Body: &wire.Frame_Heartbeat{Heartbeat: &wire.Heartbeat{
+		ConfigVersion: e.book.Version,
+		Backlog:       backlogOf(e.disp.Backlog()),
+		Draining:      e.phase != phaseServing,
+	}}}
+}
+
+// rosterFrame lists the entries of the region, this one included.
+func (e *Entry) rosterFrame() *wire.Frame {
+	m := &wire.Roster{Entries: []*wire.Hello{link.HelloOf(e.settings.Self)}}
+	for _, member := range e.disp.Roster.Up(e.clock.Now()) {
+		if member.Host.Incarnation != e.settings.Self.Incarnation {
+			m.Entries = append(m.Entries, link.HelloOf(member.Host))
+		}
+	}
+	return &wire.Frame{Body: &wire.Frame_Roster{Roster: m}}
+}
+
+func claimsOf(m *wire.Grant) []grant.Claim {
+	var cs []grant.Claim
+	for _, in := range m.GetIntervals() {
+		c := grant.Claim{From: clock.Millis(in.GetFromMs()), Until: clock.Millis(in.GetUntilMs())}
+		for _, r := range in.GetRanges() {
+			c.Ranges = append(c.Ranges, grant.Range(r))
+		}
+		cs = append(cs, c)
+	}
+	return cs
+}
+
+func grantRecord(self host.Host, claims []grant.Claim, leaving bool) *wire.Record {
+	m := &wire.Grant{Entry: link.HelloOf(self), Leaving: leaving}
+	for _, c := range claims {
+		in := &wire.Interval{FromMs: int64(c.From), UntilMs: int64(c.Until)}
+		for _, r := range c.Ranges {
+			in.Ranges = append(in.Ranges, uint32(r))
+		}
+		m.Intervals = append(m.Intervals, in)
+	}
+	return &wire.Record{Body: &wire.Record_Grant{Grant: m}}
+}
+
+func ledgerRecord(s grant.Snapshot) *wire.Record {
+	m := &wire.GrantSnapshot{Covers: s.Covers}
+	for i := range s.Ends {
+		m.EndsMs = append(m.EndsMs, int64(s.Ends[i]))
+		m.KnownFromMs = append(m.KnownFromMs, int64(s.KnownFrom[i]))
+	}
+	for _, h := range s.Held {
+		m.Held = append(m.Held, &wire.Held{
+			Range:       uint32(h.Range),
+			Incarnation: h.Incarnation,
+			FromMs:      int64(h.From),
+			UntilMs:     int64(h.Until),
+		})
+	}
+	return &wire.Record{Body: &wire.Record_GrantSnapshot{GrantSnapshot: m}}
+}
+
+func ledgerSnapshotOf(m *wire.GrantSnapshot) grant.Snapshot {
+	s := grant.Snapshot{Covers: m.GetCovers()}
+	for _, v := range m.GetEndsMs() {
+		s.Ends = append(s.Ends, clock.Millis(v))
+	}
+	for _, v := range m.GetKnownFromMs() {
+		s.KnownFrom = append(s.KnownFrom, clock.Millis(v))
+	}
+	for _, h := range m.GetHeld() {
+		s.Held = append(s.Held, grant.HeldInterval{
+			Range: grant.Range(h.GetRange()),
+			Interval: grant.Interval{
+				From:        clock.Millis(h.GetFromMs()),
+				Until:       clock.Millis(h.GetUntilMs()),
+				Incarnation: h.GetIncarnation(),
+			},
+		})
+	}
+	return s
+}
--- /dev/null
+++ b/internal/entry/parts.go
@@ -0,0 +1,31 @@
+package entry
+
+import (
+	"github.com/turmericbarrow/turmericbarrow/internal/audit"
+	"github.com/turmericbarrow/turmericbarrow/internal/contr"
+	"github.com/turmericbarrow/turmericbarrow/internal/disp"
+	"github.com/turmericbarrow/turmericbarrow/internal/fair"
+	"github.com/turmericbarrow/turmericbarrow/internal/grant"
+	"github.com/turmericbarrow/turmericbarrow/internal/limit"
+	"github.com/turmericbarrow/turmericbarrow/internal/retry"
+	"github.com/turmericbarrow/turmericbarrow/internal/roster"
+	"github.com/turmericbarrow/turmericbarrow/internal/route"
+)
+
+// NewParts returns the cores of an entry, with shares for the order and predicted
+// finish for the choice of upstream.
+func NewParts(keys grant.TableLimits) disp.Parts {
+	fleet := route.New()
+	return disp.Parts{
+		Book:    contr.NewBook(),
+		Order:   fair.New(),
+		Fleet:   fleet,
+		Chooser: fleet,
+		Limits:  limit.New(),
+		Budgets: retry.New(),
+		Ledger:  grant.NewLedger(),
+		Table:   grant.NewTable(keys),
+		Roster:  roster.New(),
+		Audit:   audit.New(audit.DefaultDispatches, audit.DefaultRecords),
+	}
+}
--- /dev/null
+++ b/internal/entry/state.go
@@ -0,0 +1,142 @@
+package entry
+
+import (
+	"io"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/turmericbarrow/turmericbarrow/internal/disp"
+	"github.com/turmericbarrow/turmericbarrow/internal/grant"
+	"github.com/turmericbarrow/turmericbarrow/internal/host"
+	"github.com/turmericbarrow/turmericbarrow/internal/roster"
+	"github.com/turmericbarrow/turmericbarrow/internal/route"
+)
+
+// State is the dump of an entry.
+type State struct {
+	Self              host.Host        `json:"self"`
+	Phase             string           `json:"phase"`
+	CertificateExpiry time.Time        `json:"certificate_expiry"`
+	ConfigVersion     int64            `json:"config_version"`
+	Versions          map[string]int64 `json:"config_versions"`
+	Log               LogState         `json:"log"`
+	Grants            GrantState       `json:"grants"`
+	Upstreams         []route.Upstream `json:"upstreams"`
+	Entries           []roster.Member  `json:"entries"`
+	Agents            []host.Host      `json:"agents"`
+	Waiting           int              `json:"waiting"`
+	Keys              int              `json:"keys"`
+	AnswerBytes       int              `json:"answer_bytes"`
+	Figures           disp.Figures     `json:"figures"`
+}
+
+// LogState is how the entry stands with the platform's log.
+type LogState struct {
+	GrantsReadable bool  `json:"grants_readable"`
+	ConfigReadable bool  `json:"config_readable"`
+	GrantsApplied  int64 `json:"grants_applied"`
+	ConfigApplied  int64 `json:"config_applied"`
+}
+
+// GrantState is what key time the entry holds.
+type GrantState struct {
+	Based     bool  `json:"based"`
+	Ranges    int   `json:"ranges"`
+	HorizonMS int64 `json:"horizon_ms"`
+}
+
+var phaseNames = map[phase]string{
+	phaseServing:  "serving",
+	phaseLeaving:  "leaving",
+	phaseDraining: "draining",
+}
+
+func (e *Entry) state() State {
+	s := State{
+		Self:              e.settings.Self,
+		Phase:             phaseNames[e.phase],
+		CertificateExpiry: e.settings.Expiry,
+		ConfigVersion:     e.book.Version,
+		Versions:          e.versions(),
+		Log: LogState{
+			GrantsReadable: e.platform.grants.readable,
+			ConfigReadable: e.platform.config.readable,
+			GrantsApplied:  e.disp.Ledger.Applied,
+			ConfigApplied:  e.book.Applied,
+		},
+		Grants: GrantState{
+			Based:     e.disp.Ledger.Based,
+			Ranges:    e.heldRanges(),
+			HorizonMS: int64(e.disp.HorizonMS),
+		},
+		Entries:     e.disp.Roster.Up(e.clock.Now()),
+		Waiting:     e.disp.Order.Len(),
+		Keys:        e.disp.Table.Len(),
+		AnswerBytes: e.disp.Table.AnswerBytes,
+		Figures:     e.disp.Figures,
+	}
+	for _, u := range e.disp.Fleet.All() {
+		s.Upstreams = append(s.Upstreams, u.Copy())
+	}
+	for _, a := range e.agents {
+		s.Agents = append(s.Agents, a.link.Peer)
+	}
+	return s
+}
+
+// versions returns the configuration in force in this process and its neighbours.
+func (e *Entry) versions() map[string]int64 {
+	v := map[string]int64{e.settings.Self.Name: e.book.Version}
+	for _, a := range e.agents {
+		v[a.link.Peer.Name] = a.configVersion
+	}
+	for _, p := range e.peerState {
+		v[p.Name] = p.ConfigVersion
+	}
+	return v
+}
+
+func (e *Entry) heldRanges() int {
+	n := 0
+	for r := grant.Range(0); r < grant.RangeCount; r++ {
+		if e.disp.Ledger.Holder(r) == e.settings.Self.Incarnation {
+			n++
+		}
+	}
+	return n
+}
+
+func writeMetrics(w io.Writer, s State) {
+	set := metrics.NewSet()
+	gauge := func(name string, v float64) {
+		set.NewGauge("turmericbarrow_"+name, func() float64 { return v })
+	}
+	counter := func(name string, v uint64) {
+		set.NewCounter("turmericbarrow_" + name).Set(v)
+	}
+	gauge("config_version", float64(s.ConfigVersion))
+	gauge("certificate_expiry_seconds", float64(s.CertificateExpiry.Unix()))
+	gauge("entry_waiting", float64(s.Waiting))
+	gauge("entry_keys", float64(s.Keys))
+	gauge("entry_answer_bytes", float64(s.AnswerBytes))
+	gauge("entry_upstreams", float64(len(s.Upstreams)))
+	gauge("entry_ranges_held", float64(s.Grants.Ranges))
+	gauge("entry_log_readable", boolGauge(s.Log.GrantsReadable && s.Log.ConfigReadable))
+	counter("submitted_total", s.Figures.Submitted)
+	counter("answered_total", s.Figures.Answered)
+	counter("refused_total", s.Figures.Refused)
+	counter("started_total", s.Figures.Started)
+	counter("retried_total", s.Figures.Retried)
+	counter("hedged_total", s.Figures.Hedged)
+	counter("messages_total", s.Figures.Messages)
+	counter("wasted_total", s.Figures.Wasted)
+	set.WritePrometheus(w)
+}
+
+func boolGauge(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/fakes/upstream.go
@@ -0,0 +1,222 @@
+package fakes
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/gorilla/mux"
+	"github.com/juju/errors"
+
+	"github.com/turmericbarrow/turmericbarrow/internal/clock"
+	"github.com/turmericbarrow/turmericbarrow/internal/slot"
+)
+
+// Behaviour is how an upstream deals with tasks.
+type Behaviour int
+
+// The behaviours of an upstream.
+const (
+	// BehaviourServe answers every task.
+	BehaviourServe Behaviour = iota
+	// BehaviourFail answers every task at once with status 500.
+	BehaviourFail
+	// BehaviourCut sends half of its answer and closes the connection.
+	BehaviourCut
+	// BehaviourHang never answers.
+	BehaviourHang
+)
+
+// UpstreamSettings of a stand-in upstream.
+type UpstreamSettings struct {
+	Name        string
+	Slots       int
+	Connections int
+	// Speed divides the service times; above zero.
+	Speed float64
+	// Services holds the mean service time of each kind in milliseconds.
+	Services map[string]float64
+	// Spread is the part by which service times vary around their mean, 0 to 1.
+	Spread float64
+	// Agent is the base URL of the agent to announce to.
+	Agent string
+	// HoldMS is how long an announcement holds.
+	HoldMS clock.Millis
+	// OnStart is told of every task that starts; it may be nil. It is called from
+	// many goroutines.
+	OnStart func(TaskStart)
+}
+
+// TaskStart is one start of a task at an upstream.
+type TaskStart struct {
+	Upstream string
+	Kind     string
+	Key      string
+	Index    int
+}
+
+// Upstream is a stand-in upstream: an HTTP server that takes its time.
+type Upstream struct {
+	settings  UpstreamSettings
+	socket    net.Listener
+	address   string
+	behaviour chan Behaviour
+	leave     chan chan<- error
+	client    *http.Client
+}
+
+// NewUpstream returns an upstream; Open it before Run.
+func NewUpstream(s UpstreamSettings) *Upstream {
+	u := &Upstream{
+		settings:  s,
+		behaviour: make(chan Behaviour, 1),
+		leave:     make(chan chan<- error),
+		client:    &http.Client{Timeout: headerTimeout, Transport: &http.Transport{}},
+	}
+	u.behaviour <- BehaviourServe
+	return u
+}
+
+// Open binds the upstream's socket.
+func (u *Upstream) Open() error {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return errors.Annotate(err, "listen for tasks")
+	}
+	u.socket = l
+	u.address = "http://" + l.Addr().String()
+	return nil
+}
+
+// SetBehaviour changes how tasks are dealt with from now on.
+func (u *Upstream) SetBehaviour(b Behaviour) {
+	<-u.behaviour
+	u.behaviour <- b
+}
+
+// Leave announces to the agent that the upstream leaves, and goes on serving.
+func (u *Upstream) Leave(ctx context.Context) error {
+	done := make(chan error, 1)
+	select {
+	case u.leave <- done:
+		return <-done
+	case <-ctx.Done():
+		return errors.Annotate(ctx.Err(), "leave")
+	}
+}
+
+// Run serves and announces until ctx ends, and then reports on done.
+func (u *Upstream) Run(ctx context.Context, done chan<- error) {
+	r := mux.NewRouter()
+	r.HandleFunc("/tasks/{kind}", u.task).Methods(http.MethodPost)
+	hs := &http.Server{Handler: r, ReadHeaderTimeout: headerTimeout}
+	served := make(chan error, 1)
+	go func() { served <- hs.Serve(u.socket) }()
+	u.announceLoop(ctx)
+	hs.Close()
+	u.client.CloseIdleConnections()
+	done <- errors.Annotatef(<-served, "serve tasks of %s", u.settings.Name)
+}
+
+// announceLoop repeats the announcement three times within its hold.
+func (u *Upstream) announceLoop(ctx context.Context) {
+	t := time.NewTicker((u.settings.HoldMS / 3).Duration())
+	defer t.Stop()
+	u.announce(ctx, http.MethodPut)
+	leaving := false
+	for {
+		select {
+		case <-t.C:
+			if !leaving {
+				u.announce(ctx, http.MethodPut)
+			}
+		case done := <-u.leave:
+			leaving = true
+			done <- u.announce(ctx, http.MethodDelete)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (u *Upstream) announce(ctx context.Context, method string) error {
+	var kinds []string
+	for k := range u.settings.Services {
+		kinds = append(kinds, k)
+	}
+	body, err := json.Marshal(slot.Upstream{
+		Name:        u.settings.Name,
+		Address:     u.address,
+		Slots:       u.settings.Slots,
+		Connections: u.settings.Connections,
+		Kinds:       kinds,
+		HoldMS:      u.settings.HoldMS,
+	})
+	if err != nil {
+		return errors.Annotate(err, "encode announcement")
+	}
+	req, err := http.NewRequestWithContext(ctx, method, u.settings.Agent+"/v1/upstream", bytes.NewReader(body))
+	if err != nil {
+		return errors.Annotatef(err, "announce to %s", u.settings.Agent)
+	}
+	resp, err := u.client.Do(req)
+	if err != nil {
+		return errors.Annotatef(err, "announce to %s", u.settings.Agent)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusNoContent {
+		return errors.Errorf("announce to %s: status %d", u.settings.Agent, resp.StatusCode)
+	}
+	return nil
+}
+
+func (u *Upstream) task(rw http.ResponseWriter, r *http.Request) {
+	payload, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	kind := mux.Vars(r)["kind"]
+	key := r.Header.Get("Task-Key")
+	index, _ := strconv.Atoi(r.Header.Get("Task-Index"))
+	if u.settings.OnStart != nil {
+		u.settings.OnStart(TaskStart{Upstream: u.settings.Name, Kind: kind, Key: key, Index: index})
+	}
+	b := <-u.behaviour
+	u.behaviour <- b
+	switch b {
+	case BehaviourFail:
+		http.Error(rw, "broken", http.StatusInternalServerError)
+		return
+	case BehaviourHang:
+		<-r.Context().Done()
+		return
+	}
+	if !clock.Wait(r.Context(), u.serviceTime(kind, key, index)) {
+		return
+	}
+	answer := fmt.Sprintf(`{"upstream":%q,"kind":%q,"payload_bytes":%d,"payload_hash":"%x"}`,
+		u.settings.Name, kind, len(payload), xxhash.Sum64(payload))
+	rw.Header().Set("Content-Type", "application/json")
+	rw.Header().Set("Content-Length", strconv.Itoa(len(answer)))
+	if b == BehaviourCut {
+		io.WriteString(rw, answer[:len(answer)/2])
+		panic(http.ErrAbortHandler)
+	}
+	io.WriteString(rw, answer)
+}
+
+// serviceTime is the same for the same task, so that runs can be compared.
+func (u *Upstream) serviceTime(kind, key string, index int) clock.Millis {
+	mean := u.settings.Services[kind] / u.settings.Speed
+	h := xxhash.Sum64String(key + "/" + strconv.Itoa(index))
+	f := rand.New(rand.NewPCG(h, h)).Float64()*2 - 1
+	return clock.Millis(mean*(1+u.settings.Spread*f) + 0.5)
+}
--- /dev/null
+++ b/internal/keys/keys.go
@@ -0,0 +1,166 @@
+// Package keys makes and reads the certificates by which the system's processes
+// know each other. There is one authority for a deployment; a host's certificate
+// carries its name and its role.
+package keys
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"math/big"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/turmericbarrow/turmericbarrow/internal/host"
+)
+
+// serverName stands in every certificate: peers are reached by IP number, and the
+// host's own name is checked against its hello.
+const serverName = "link.turmericbarrow.internal"
+
+// Protocol is the ALPN name of the links.
+const Protocol = "turmericbarrow/1"
+
+const (
+	// serialBits is the size of a certificate's random serial number.
+	serialBits = 120
+	// backdate covers clocks that differ between hosts.
+	backdate = time.Hour
+)
+
+// Authority signs the certificates of hosts.
+type Authority struct {
+	CertPEM []byte
+	KeyPEM  []byte
+}
+
+// Pair is a host's certificate and key, and the authority that signed it.
+type Pair struct {
+	AuthorityPEM []byte
+	CertPEM      []byte
+	KeyPEM       []byte
+}
+
+// NewAuthority makes an authority that is valid for the given time.
+func NewAuthority(valid time.Duration) (Authority, error) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return Authority{}, errors.Annotate(err, "make authority key")
+	}
+	t, err := template("turmericbarrow authority", "", valid)
+	if err != nil {
+		return Authority{}, errors.Annotate(err, "make authority")
+	}
+	t.IsCA = true
+	t.BasicConstraintsValid = true
+	t.KeyUsage = x509.KeyUsageCertSign
+	der, err := x509.CreateCertificate(rand.Reader, t, t, &key.PublicKey, key)
+	if err != nil {
+		return Authority{}, errors.Annotate(err, "sign authority")
+	}
+	keyPEM, err := encodeKey(key)
+	return Authority{CertPEM: encodeCert(der), KeyPEM: keyPEM}, err
+}
+
+// NewPair makes a certificate for a host of the given name and role.
+func (a Authority) NewPair(name string, role host.Role, valid time.Duration) (Pair, error) {
+	ca, err := tls.X509KeyPair(a.CertPEM, a.KeyPEM)
+	if err != nil {
+		return Pair{}, errors.Annotate(err, "read authority")
+	}
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return Pair{}, errors.Annotatef(err, "make key of %s", name)
+	}
+	t, err := template(name, string(role), valid)
+	if err != nil {
+		return Pair{}, errors.Annotatef(err, "make certificate of %s", name)
+	}
+	t.DNSNames = []string{serverName}
+	t.KeyUsage = x509.KeyUsageDigitalSignature
+	t.ExtKeyUsage = []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth}
+	der, err := x509.CreateCertificate(rand.Reader, t, ca.Leaf, &key.PublicKey, ca.PrivateKey)
+	if err != nil {
+		return Pair{}, errors.Annotatef(err, "sign certificate of %s", name)
+	}
+	keyPEM, err := encodeKey(key)
+	return Pair{AuthorityPEM: a.CertPEM, CertPEM: encodeCert(der), KeyPEM: keyPEM}, err
+}
+
+func template(name, role string, valid time.Duration) (*x509.Certificate, error) {
+	serial, err := rand.Int(rand.Reader, new(big.Int).Lsh(big.NewInt(1), serialBits))
+	if err != nil {
+		return nil, err
+	}
+	subject := pkix.Name{CommonName: name}
+	if role != "" {
+		subject.OrganizationalUnit = []string{role}
+	}
+	now := time.Now()
+	return &x509.Certificate{
+		SerialNumber: serial,
+		Subject:      subject,
+		NotBefore:    now.Add(-backdate),
+		NotAfter:     now.Add(valid),
+	}, nil
+}
+
+func encodeCert(der []byte) []byte {
+	return pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der})
+}
+
+func encodeKey(key *ecdsa.PrivateKey) ([]byte, error) {
+	der, err := x509.MarshalPKCS8PrivateKey(key)
+	if err != nil {
+		return nil, errors.Annotate(err, "encode key")
+	}
+	return pem.EncodeToMemory(&pem.Block{Type: "PRIVATE KEY", Bytes: der}), nil
+}
+
+// TLS returns the settings for both ends of a link: each side demands a
+// certificate of the same authority.
+func (p Pair) TLS() (*tls.Config, error) {
+	cert, err := tls.X509KeyPair(p.CertPEM, p.KeyPEM)
+	if err != nil {
+		return nil, errors.Annotate(err, "read certificate")
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(p.AuthorityPEM) {
+		return nil, errors.New("read authority: no certificate in PEM")
+	}
+	return &tls.Config{
+		Certificates: []tls.Certificate{cert},
+		RootCAs:      pool,
+		ClientCAs:    pool,
+		ClientAuth:   tls.RequireAndVerifyClientCert,
+		ServerName:   serverName,
+		MinVersion:   tls.VersionTLS13,
+		NextProtos:   []string{Protocol},
+	}, nil
+}
+
+// Expiry returns when the host's certificate ends.
+func (p Pair) Expiry() (time.Time, error) {
+	cert, err := tls.X509KeyPair(p.CertPEM, p.KeyPEM)
+	if err != nil {
+		return time.Time{}, errors.Annotate(err, "read certificate")
+	}
+	return cert.Leaf.NotAfter, nil
+}
+
+// Identity returns the name and role in a peer's verified certificate.
+func Identity(s tls.ConnectionState) (string, host.Role, error) {
+	if len(s.PeerCertificates) == 0 {
+		return "", "", errors.New("peer has no certificate")
+	}
+	subject := s.PeerCertificates[0].Subject
+	if len(subject.OrganizationalUnit) != 1 {
+		return "", "", errors.Errorf("certificate of %s has no role", subject.CommonName)
+	}
+	return subject.CommonName, host.Role(subject.OrganizationalUnit[0]), nil
+}
--- /dev/null
+++ b/internal/plog/follow.go
@@ -0,0 +1,73 @@
+package plog
+
+import (
+	"context"
+	"log/slog"
+
+	"github.com/juju/errors"
+
+	"github.com/turmericbarrow/turmericbarrow/internal/clock"
+	"github.com/turmericbarrow/turmericbarrow/internal/retry"
+)
+
+// Reader reads a stream of the log.
+type Reader interface {
+	Read(ctx context.Context, stream string, from int64, wait clock.Millis) (Page, error)
+}
+
+// pollMS is how long one read waits for new records.
+const pollMS clock.Millis = 10_000
+
+// Followed is a part of a stream, or the failure to read one.
+type Followed struct {
+	Stream string
+	Page   Page
+	// Err is nil exactly when Page is set.
+	Err error
+}
+
+// Follower reads one stream from the beginning and passes on what it finds.
+type Follower struct {
+	Stream string
+	reader Reader
+	log    *slog.Logger
+	out    chan<- Followed
+	from   int64
+	back   retry.Backoff
+}
+
+// NewFollower returns a follower that sends to out.
+func NewFollower(stream string, r Reader, out chan<- Followed, log *slog.Logger) *Follower {
+	return &Follower{Stream: stream, reader: r, out: out, log: log}
+}
+
+// Run follows the stream until ctx ends, and then reports on done.
+func (f *Follower) Run(ctx context.Context, done chan<- error) {
+	for ctx.Err() == nil {
+		f.step(ctx)
+	}
+	done <- errors.Annotatef(ctx.Err(), "follow stream %s", f.Stream)
+}
+
+func (f *Follower) step(ctx context.Context) {
+	p, err := f.reader.Read(ctx, f.Stream, f.from, pollMS)
+	if ctx.Err() != nil {
+		return
+	}
+	if err != nil {
+		f.log.Warn("log not readable", "stream", f.Stream, "failures", f.back.Failures+1, "error", err.Error())
+		f.send(ctx, Followed{Stream: f.Stream, Err: err})
+		clock.Wait(ctx, f.back.Next())
+		return
+	}
+	f.back.Reset()
+	f.from = max(f.from, p.Next)
+	f.send(ctx, Followed{Stream: f.Stream, Page: p})
+}
+
+func (f *Follower) send(ctx context.Context, m Followed) {
+	select {
+	case f.out <- m:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/pque/pque.go
@@ -0,0 +1,80 @@
+// Package pque is a priority queue whose entries can be moved and removed.
+package pque
+
+import "container/heap"
+
+// Node is one entry of a queue. A node is in one queue at most.
+type Node[T any] struct {
+	Value T
+	// Rank decides the order, lowest first.
+	Rank float64
+	// index is the position in the queue's heap plus one, or zero outside of it.
+	index int
+}
+
+// Queued reports whether n is in a queue.
+func (n *Node[T]) Queued() bool {
+	return n.index > 0
+}
+
+// Queue orders nodes by rank. The zero value is an empty queue.
+type Queue[T any] struct {
+	nodes nodes[T]
+}
+
+// Len returns the number of nodes.
+func (q *Queue[T]) Len() int {
+	return len(q.nodes)
+}
+
+// Set inserts n with the given rank, or moves it there.
+func (q *Queue[T]) Set(n *Node[T], rank float64) {
+	n.Rank = rank
+	if n.Queued() {
+		heap.Fix(&q.nodes, n.index-1)
+		return
+	}
+	heap.Push(&q.nodes, n)
+}
+
+// Remove takes n out; a node that is not queued stays as it is.
+func (q *Queue[T]) Remove(n *Node[T]) {
+	if n.Queued() {
+		heap.Remove(&q.nodes, n.index-1)
+	}
+}
+
+// Min returns the node of lowest rank, or nil.
+func (q *Queue[T]) Min() *Node[T] {
+	if len(q.nodes) == 0 {
+		return nil
+	}
+	return q.nodes[0]
+}
+
+// nodes implements heap.Interface.
+type nodes[T any] []*Node[T]
+
+func (ns nodes[T]) Len() int           { return len(ns) }
+func (ns nodes[T]) Less(i, j int) bool { return ns[i].Rank < ns[j].Rank }
+
+func (ns nodes[T]) Swap(i, j int) {
+	ns[i], ns[j] = ns[j], ns[i]
+	ns[i].index = i + 1
+	ns[j].index = j + 1
+}
+
+func (ns *nodes[T]) Push(x any) {
+	n := x.(*Node[T])
+	*ns = append(*ns, n)
+	n.index = len(*ns)
+}
+
+func (ns *nodes[T]) Pop() any {
+	old := *ns
+	n := old[len(old)-1]
+	old[len(old)-1] = nil
+	*ns = old[:len(old)-1]
+	n.index = 0
+	return n
+}
