Add the command line, the Go client and the linters

Cause: the path could be driven by a test only.

Routing tries upstreams that were not tried for a while: without that, the first upstream to answer kept all work at low load. Linters are pinned as tools in go.mod; revive blocks sync.

Conclusion: the whole path runs by flags; measurements come next.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,60 @@
+# Front door. `make` lists the targets.
+
+GO ?= go
+
+.PHONY: help
+help:
+	@grep -E '^[a-z-]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*##/\t/' | expand -t 14
+
+.PHONY: dev
+dev: ## run a whole small deployment on loopback
+	$(GO) run ./cmd/turmericbarrow dev
+
+.PHONY: build
+build: ## build bin/turmericbarrow
+	$(GO) build -o bin/turmericbarrow ./cmd/turmericbarrow
+
+.PHONY: check
+check: lint generated test model ## all that CI runs
+
+.PHONY: lint
+lint: ## formatter and linters
+	@test -z "$$(gofmt -l .)" || { gofmt -l .; echo "gofmt: files above"; exit 1; }
+	$(GO) vet ./...
+	$(GO) tool staticcheck ./...
+	$(GO) tool revive -config revive.toml -set_exit_status -exclude internal/wire/wire.pb.go ./...
+
+.PHONY: generate
+generate: ## generate internal/wire/wire.pb.go with protoc
+	$(GO) build -o bin/protoc-gen-go google.golang.org/protobuf/cmd/protoc-gen-go
+	protoc --plugin=bin/protoc-gen-go --go_out=. --go_opt=module=github.com/turmericbarrow/turmericbarrow internal/wire/wire.proto
+
+.PHONY: generated
+generated: ## check that the generated code is up to date
+	@if command -v protoc >/dev/null; then $(MAKE) -s generate && git diff --exit-code --stat -- internal/wire; \
+	else echo "generated: skipped, protoc is not installed"; fi
+
+.PHONY: test
+test: ## race-detected tests
+	$(GO) test -race ./...
+
+.PHONY: model
+model: ## check the specifications and their mutants with spin
+	$(GO) run ./model/check
+
+.PHONY: bench
+bench: ## benchmarks of the cores
+	$(GO) test -run '^$$' -bench . -benchmem ./internal/...
+
+.PHONY: measure
+measure: ## every scenario of measure, as a table
+	$(GO) run ./cmd/turmericbarrow measure --scenario all --format text
+
+.PHONY: capacity
+capacity: ## the measurements behind docs/CAPACITY.md
+	$(GO) run ./cmd/turmericbarrow measure --scenario capacity --format text
+	$(GO) test -run '^$$' -bench 'Capacity|Decision' -benchmem ./internal/...
+
+.PHONY: clean
+clean: ## remove what was built
+	rm -rf bin
--- a/internal/disp/work.go
+++ b/internal/disp/work.go
@@ -246,7 +246,7 @@
 	if !s.Idempotent || s.Job || c == nil || c.Kind(s.Kind) == nil || !c.Kind(s.Kind).Hedge {
 		return
 	}
-	wait := hedgeFactor*d.Fleet.Expect(u, s.Kind) + float64(u.RoundTrip)
+	wait := hedgeFactor*d.Fleet.Expect(u, s.Kind, now) + float64(u.RoundTrip)
 	a.timer = d.setTimer(&timer{kind: timerHedge, ask: a.ask}, now+clock.Millis(wait)+1)
 }
 
--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -112,13 +112,14 @@
 // callersWeb serves callers.
 type callersWeb struct {
 	server
-	maxBody int64
+	maxBody     int64
+	incarnation string
 	// ready holds one value: whether the entry wants callers.
 	ready chan bool
 }
 
 func newCallersWeb(s Settings, c Clock, inbox chan<- message, log *slog.Logger) *callersWeb {
-	w := &callersWeb{server: newServer(s.Listen, c, inbox, log), maxBody: s.MaxBodyBytes, ready: make(chan bool, 1)}
+	w := &callersWeb{server: newServer(s.Listen, c, inbox, log), maxBody: s.MaxBodyBytes, incarnation: s.Self.Incarnation, ready: make(chan bool, 1)}
 	w.ready <- true
 	return w
 }
@@ -150,9 +151,7 @@
 }
 
 func (w *callersWeb) readyz(rw http.ResponseWriter, _ *http.Request) {
-	ready := <-w.ready
-	w.ready <- ready
-	if !ready {
+	if !w.isReady() {
 		rw.WriteHeader(http.StatusServiceUnavailable)
 		fmt.Fprintln(rw, "draining")
 		return
@@ -176,9 +175,24 @@
 	if !ok {
 		return
 	}
+	w.offerTicket(rw)
 	writeSingle(rw, a)
 }
 
+// offerTicket gives the caller a ticket for its next request, unless this entry is
+// about to leave.
+func (w *callersWeb) offerTicket(rw http.ResponseWriter) {
+	if w.isReady() {
+		rw.Header().Set(headerTicket, grant.NewTicket(w.incarnation, w.clock.Now()))
+	}
+}
+
+func (w *callersWeb) isReady() bool {
+	ready := <-w.ready
+	w.ready <- ready
+	return ready
+}
+
 // readHeaders fills in what the request's headers say.
 func (w *callersWeb) readHeaders(r *http.Request, m *submit) *reply.Problem {
 	m.tokenHash = tokenHash(r)
@@ -256,6 +270,7 @@
 	if !ok {
 		return
 	}
+	w.offerTicket(rw)
 	writeJob(rw, m.key.Text, a)
 }
 
--- a/internal/entry/platform.go
+++ b/internal/entry/platform.go
@@ -237,7 +237,7 @@
 // itself: one append a second.
 const (
 	renewEvery                    = clock.Second
-	baseHorizonMS                 = 5 * clock.Second
+	BaseHorizonMS                 = 5 * clock.Second
 	maxHorizonMS                  = 60 * clock.Second
 	horizonPerAppend              = 3
 	renewTimeoutMS                = 10 * clock.Second
@@ -259,7 +259,7 @@
 	if p.renewing && now-p.renewedAt < renewTimeoutMS {
 		return
 	}
-	e.disp.HorizonMS = min(baseHorizonMS+horizonPerAppend*p.tookMS, maxHorizonMS)
+	e.disp.HorizonMS = min(BaseHorizonMS+horizonPerAppend*p.tookMS, maxHorizonMS)
 	p.renewedAt = now
 	p.renewing = offer(p.grantJobs, grantRecord(e.settings.Self, e.disp.Claims(now), false))
 }
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -4,6 +4,7 @@
 package route
 
 import (
+	"math"
 	"sort"
 
 	"github.com/turmericbarrow/turmericbarrow/internal/clock"
@@ -49,13 +50,16 @@
 type Estimate struct {
 	MS    float64 `json:"ms"`
 	Count int     `json:"count"`
+	// UpdatedAt is when the last sample came.
+	UpdatedAt clock.Millis `json:"updated_at"`
 }
 
 // estimateWeight is the weight of a new sample once an estimate has settled.
 const estimateWeight = 0.1
 
-func (e *Estimate) add(ms float64) {
+func (e *Estimate) add(ms float64, now clock.Millis) {
 	e.Count++
+	e.UpdatedAt = now
 	e.MS += (ms - e.MS) * max(estimateWeight, 1/float64(e.Count))
 }
 
@@ -162,12 +166,22 @@
 	}
 }
 
+// Optimism about upstreams that have not been tried for a while. Without it the
+// first upstream to answer kept all work at low load, though another was faster.
+const (
+	untriedFactor   = 0.5
+	halfOptimismMS  = 10_000.0
+	maxOptimismPart = 0.1
+)
+
 // Expect returns the expected service time of a kind at an upstream.
-func (f *Fleet) Expect(u *Upstream, kind string) float64 {
-	if e := u.Service[kind]; e != nil && e.Count > 0 {
-		return e.MS
+func (f *Fleet) Expect(u *Upstream, kind string, now clock.Millis) float64 {
+	e := u.Service[kind]
+	if e == nil || e.Count == 0 {
+		return f.Cost(kind) * f.speed(u) * untriedFactor
 	}
-	return f.Cost(kind) * f.speed(u)
+	untried := float64(now-e.UpdatedAt) / halfOptimismMS
+	return e.MS * max(math.Exp2(-untried), maxOptimismPart)
 }
 
 // speed is how much slower u is than the whole fleet on kinds that it has served.
@@ -204,7 +218,7 @@
 		if !f.open(u, kind, now) || avoid[u.ID] {
 			continue
 		}
-		finish := f.finish(u, kind)
+		finish := f.finish(u, kind, now)
 		if best == nil || finish < bestFinish {
 			best, bestFinish = u, finish
 		}
@@ -218,8 +232,8 @@
 	return best
 }
 
-func (f *Fleet) finish(u *Upstream, kind string) float64 {
-	service := f.Expect(u, kind)
+func (f *Fleet) finish(u *Upstream, kind string, now clock.Millis) float64 {
+	service := f.Expect(u, kind, now)
 	ahead := max(0, u.InFlight+1-u.Slots)
 	return float64(u.RoundTrip) + service + service*float64(ahead)/float64(max(1, u.Slots))
 }
@@ -235,7 +249,7 @@
 		if !f.takes(u, kind, now) || u.InFlight < u.Window {
 			continue
 		}
-		s := f.Expect(u, kind) + float64(u.RoundTrip)
+		s := f.Expect(u, kind, now) + float64(u.RoundTrip)
 		if s >= finish {
 			continue
 		}
@@ -339,8 +353,8 @@
 		e = &Estimate{}
 		u.Service[o.Kind] = e
 	}
-	e.add(o.ServiceMS)
-	k.service.add(o.ServiceMS)
+	e.add(o.ServiceMS, now)
+	k.service.add(o.ServiceMS, now)
 	u.Failures = 0
 	if u.Health == HealthProbing {
 		u.Health = HealthGood
--- /dev/null
+++ b/pkg/cli/contract.go
@@ -0,0 +1,236 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/user"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/juju/errors"
+	"github.com/spf13/cobra"
+	"github.com/spf13/pflag"
+
+	"github.com/turmericbarrow/turmericbarrow/internal/contr"
+	"github.com/turmericbarrow/turmericbarrow/internal/entry"
+	"github.com/turmericbarrow/turmericbarrow/internal/opers"
+)
+
+// operatorFlags say which entry an operator talks to.
+type operatorFlags struct {
+	url    string
+	token  string
+	author string
+}
+
+func (o *operatorFlags) add(f *pflag.FlagSet) {
+	f.StringVar(&o.url, "operators-url", "http://127.0.0.1:7200", "base URL of an entry's operators' listener")
+	f.StringVar(&o.token, "operator-token", "", "operator token")
+	f.StringVar(&o.author, "author", currentUser(), "who amends, for the history")
+}
+
+func currentUser() string {
+	u, err := user.Current()
+	if err != nil {
+		return "unknown"
+	}
+	return u.Username
+}
+
+func (o *operatorFlags) client() (*opers.Client, error) {
+	if err := checkURL("operators-url", o.url); err != nil {
+		return nil, err
+	}
+	return opers.New(o.url, o.token), nil
+}
+
+func (a *app) contractCommand() *cobra.Command {
+	o := &operatorFlags{}
+	c := &cobra.Command{Use: "contract", Short: "Check, compare and amend contracts"}
+	validate := &cobra.Command{
+		Use: "validate FILE...", Short: "Check contract files without a running system",
+		Example: "  turmericbarrow contract validate examples/lusofala/*.yaml", Args: cobra.MinimumNArgs(1),
+		RunE: func(_ *cobra.Command, files []string) error { return a.validate(files) },
+	}
+	plan := &cobra.Command{
+		Use: "plan FILE...", Short: "Show what applying contract files would change",
+		Example: "  turmericbarrow contract plan examples/lusofala/*.yaml", Args: cobra.MinimumNArgs(1),
+		RunE: func(c *cobra.Command, files []string) error { return a.plan(c.Context(), o, files) },
+	}
+	apply := &cobra.Command{
+		Use: "apply FILE...", Short: "Put contract files in force",
+		Example: "  turmericbarrow contract apply examples/lusofala/events.yaml", Args: cobra.MinimumNArgs(1),
+		RunE: func(c *cobra.Command, files []string) error { return a.apply(c.Context(), o, files) },
+	}
+	get := &cobra.Command{
+		Use: "get [CUSTOMER]", Short: "Print contracts in force",
+		Example: "  turmericbarrow contract get lusofala-events", Args: cobra.MaximumNArgs(1),
+		RunE: func(c *cobra.Command, args []string) error { return a.get(c.Context(), o, args) },
+	}
+	history := &cobra.Command{
+		Use: "history", Short: "Print the latest amendments and what became of them",
+		Example: "  turmericbarrow contract history", Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error { return a.history(c.Context(), o) },
+	}
+	for _, sub := range []*cobra.Command{plan, apply, get, history} {
+		o.add(sub.Flags())
+	}
+	c.AddCommand(validate, plan, apply, get, history)
+	return c
+}
+
+// readContracts parses the files before any of them is sent.
+func readContracts(files []string) ([]contr.Amendment, error) {
+	var out []contr.Amendment
+	for _, f := range files {
+		text, err := os.ReadFile(f)
+		if err != nil {
+			return nil, errors.Annotate(err, "read contract")
+		}
+		c, err := contr.Parse(f, text)
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, contr.Amendment{Name: contr.PrefixContract + c.Customer, Text: string(text)})
+	}
+	return out, nil
+}
+
+func (a *app) validate(files []string) error {
+	as, err := readContracts(files)
+	if err != nil {
+		return err
+	}
+	for i := range as {
+		fmt.Fprintf(a.out, "%s: valid\n", files[i])
+	}
+	return nil
+}
+
+// based reads the files and the configuration that they are compared with.
+func based(ctx context.Context, o *operatorFlags, files []string) ([]contr.Amendment, entry.Config, *opers.Client, error) {
+	as, err := readContracts(files)
+	if err != nil {
+		return nil, entry.Config{}, nil, err
+	}
+	client, err := o.client()
+	if err != nil {
+		return nil, entry.Config{}, nil, err
+	}
+	config, err := client.Config(ctx)
+	return as, config, client, err
+}
+
+func (a *app) plan(ctx context.Context, o *operatorFlags, files []string) error {
+	as, config, client, err := based(ctx, o, files)
+	if err != nil {
+		return err
+	}
+	defer client.Close()
+	for _, am := range as {
+		before := documentOf(config, am.Name)
+		a.printDifference(am, before)
+	}
+	return nil
+}
+
+func (a *app) printDifference(am contr.Amendment, before contr.Document) {
+	if before.Text == am.Text && !before.Deleted {
+		fmt.Fprintf(a.out, "%s: no change (version %d)\n", am.Name, before.Version)
+		return
+	}
+	fmt.Fprintf(a.out, "%s: from version %d\n", am.Name, before.Version)
+	for _, line := range contr.Difference(before.Text, am.Text) {
+		fmt.Fprintln(a.out, line)
+	}
+}
+
+func documentOf(config entry.Config, name string) contr.Document {
+	for _, d := range config.Documents {
+		if d.Name == name {
+			return d
+		}
+	}
+	return contr.Document{Name: name, Version: contr.NoVersion}
+}
+
+func (a *app) apply(ctx context.Context, o *operatorFlags, files []string) error {
+	as, config, client, err := based(ctx, o, files)
+	if err != nil {
+		return err
+	}
+	defer client.Close()
+	for _, am := range as {
+		before := documentOf(config, am.Name)
+		if before.Text == am.Text && !before.Deleted {
+			fmt.Fprintf(a.out, "%s: no change (version %d)\n", am.Name, before.Version)
+			continue
+		}
+		am.Author = o.author
+		am.Base = before.Version
+		if err := a.amend(ctx, client, am); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (a *app) amend(ctx context.Context, client *opers.Client, am contr.Amendment) error {
+	v, err := client.Amend(ctx, am)
+	if err != nil {
+		return err
+	}
+	if !v.Accepted {
+		return errors.Errorf("%s: refused: %s", am.Name, v.Reason)
+	}
+	fmt.Fprintf(a.out, "%s: accepted as version %d\n", am.Name, v.Offset)
+	return nil
+}
+
+func (a *app) get(ctx context.Context, o *operatorFlags, args []string) error {
+	client, err := o.client()
+	if err != nil {
+		return err
+	}
+	defer client.Close()
+	config, err := client.Config(ctx)
+	if err != nil {
+		return err
+	}
+	found := false
+	for _, d := range config.Documents {
+		customer, isContract := d.Customer()
+		if !isContract || d.Deleted || (len(args) == 1 && args[0] != customer) {
+			continue
+		}
+		found = true
+		fmt.Fprintf(a.out, "# version %d\n%s\n", d.Version, strings.TrimSpace(d.Text))
+	}
+	if !found && len(args) == 1 {
+		return errors.Errorf("no contract of %s is in force", args[0])
+	}
+	return nil
+}
+
+func (a *app) history(ctx context.Context, o *operatorFlags) error {
+	client, err := o.client()
+	if err != nil {
+		return err
+	}
+	defer client.Close()
+	config, err := client.Config(ctx)
+	if err != nil {
+		return err
+	}
+	t := tabwriter.NewWriter(a.out, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(t, "VERSION\tDOCUMENT\tAUTHOR\tBASE\tOUTCOME")
+	for _, v := range config.History {
+		outcome := "accepted"
+		if !v.Accepted {
+			outcome = "refused: " + v.Reason
+		}
+		fmt.Fprintf(t, "%d\t%s\t%s\t%d\t%s\n", v.Offset, v.Amendment.Name, v.Amendment.Author, v.Amendment.Base, outcome)
+	}
+	return t.Flush()
+}
--- /dev/null
+++ b/pkg/cli/processes.go
@@ -0,0 +1,281 @@
+package cli
+
+import (
+	"context"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/turmericbarrow/turmericbarrow/internal/agent"
+	"github.com/turmericbarrow/turmericbarrow/internal/clock"
+	"github.com/turmericbarrow/turmericbarrow/internal/disp"
+	"github.com/turmericbarrow/turmericbarrow/internal/entry"
+	"github.com/turmericbarrow/turmericbarrow/internal/fair"
+	"github.com/turmericbarrow/turmericbarrow/internal/grant"
+	"github.com/turmericbarrow/turmericbarrow/internal/host"
+	"github.com/turmericbarrow/turmericbarrow/internal/plog"
+	"github.com/turmericbarrow/turmericbarrow/internal/slot"
+)
+
+// entryFlags are the settings of an entry.
+type entryFlags struct {
+	hostFlags
+	listen        string
+	operators     string
+	operatorToken string
+	links         string
+	seeds         []string
+	logURL        string
+	logRetention  time.Duration
+	linger        time.Duration
+	keyWindow     time.Duration
+	maxKeys       int
+	maxAnswers    int
+	maxBody       int64
+	maxJobTasks   int
+	explainWait   time.Duration
+}
+
+const entryExample = `  turmericbarrow entry --name entry-1 --region pt-centro --zone a \
+    --listen 10.0.0.1:7100 --operators 10.0.0.1:7200 --links 10.0.0.1:7400 \
+    --log-url http://10.0.0.9:7300 --seeds 10.0.0.2:7400 \
+    --authority authority.pem --certificate entry-1.pem --key entry-1.key`
+
+func (a *app) entryCommand() *cobra.Command {
+	f := &entryFlags{}
+	c := &cobra.Command{
+		Use:     "entry",
+		Short:   "Run an entry: admits, queues, routes and answers",
+		Example: entryExample,
+		Args:    cobra.NoArgs,
+		RunE:    func(c *cobra.Command, _ []string) error { return a.runEntry(c.Context(), f) },
+	}
+	f.hostFlags.add(c.Flags())
+	c.Flags().StringVar(&f.listen, "listen", ":7100", "address for callers, over HTTP")
+	c.Flags().StringVar(&f.operators, "operators", "127.0.0.1:7200", "address for operators, over HTTP")
+	c.Flags().StringVar(&f.operatorToken, "operator-token", "", "token that operators must send; empty for none")
+	c.Flags().StringVar(&f.links, "links", ":7400", "UDP address for links")
+	c.Flags().StringSliceVar(&f.seeds, "seeds", nil, "link addresses of other entries, used while the log is down")
+	c.Flags().StringVar(&f.logURL, "log-url", "", "base URL of the platform's log")
+	c.Flags().DurationVar(&f.logRetention, "log-retention", time.Hour, "how long the log keeps records")
+	c.Flags().DurationVar(&f.linger, "linger", 2*time.Second, "how long a draining entry still takes callers")
+	c.Flags().DurationVar(&f.keyWindow, "key-window", 10*time.Minute, "how long keys and answers are remembered")
+	c.Flags().IntVar(&f.maxKeys, "max-keys", 1_000_000, "most keys remembered")
+	c.Flags().IntVar(&f.maxAnswers, "max-answer-mb", 256, "most megabytes of answers remembered")
+	c.Flags().Int64Var(&f.maxBody, "max-body-bytes", 1<<20, "largest body of a request or job")
+	c.Flags().IntVar(&f.maxJobTasks, "max-job-tasks", 310, "largest job")
+	c.Flags().DurationVar(&f.explainWait, "explain-wait", 20*time.Millisecond, "wait from which a request is remembered for explain")
+	return c
+}
+
+// retentionOverWindow is how many times the key window the log must keep records,
+// so that a grant can still be read while any key of it may come.
+const retentionOverWindow = 2
+
+func (f *entryFlags) check() error {
+	checks := []error{
+		checkAddress("listen", f.listen),
+		checkAddress("operators", f.operators),
+		checkAddress("links", f.links),
+		checkAddresses("seeds", f.seeds),
+		checkURL("log-url", f.logURL),
+	}
+	for _, err := range checks {
+		if err != nil {
+			return err
+		}
+	}
+	switch {
+	case f.keyWindow < 10*time.Second || f.keyWindow > 24*time.Hour:
+		return badFlag("key-window", f.keyWindow, "10s to 24h")
+	case f.logRetention < retentionOverWindow*f.keyWindow:
+		return badFlag("log-retention", f.logRetention, "at least twice --key-window")
+	case f.linger < 0 || f.linger > time.Minute:
+		return badFlag("linger", f.linger, "0s to 1m")
+	case f.maxKeys < 1000:
+		return badFlag("max-keys", f.maxKeys, "1000 or more")
+	case f.maxAnswers < 1:
+		return badFlag("max-answer-mb", f.maxAnswers, "1 or more")
+	case f.maxBody < 1<<10 || f.maxBody > 8<<20:
+		return badFlag("max-body-bytes", f.maxBody, "1024 to 8388608")
+	case f.maxJobTasks < 1 || f.maxJobTasks > 10_000:
+		return badFlag("max-job-tasks", f.maxJobTasks, "1 to 10000")
+	}
+	return nil
+}
+
+func (f *entryFlags) settings() (entry.Settings, error) {
+	self, err := f.host(host.RoleEntry)
+	if err != nil {
+		return entry.Settings{}, err
+	}
+	if err := f.check(); err != nil {
+		return entry.Settings{}, err
+	}
+	pair, err := f.pair()
+	if err != nil {
+		return entry.Settings{}, err
+	}
+	t, err := pair.TLS()
+	if err != nil {
+		return entry.Settings{}, err
+	}
+	expiry, err := pair.Expiry()
+	if err != nil {
+		return entry.Settings{}, err
+	}
+	return entry.Settings{
+		Self:          self,
+		Listen:        f.listen,
+		Operators:     f.operators,
+		OperatorToken: f.operatorToken,
+		Links:         f.links,
+		Seeds:         f.seeds,
+		TLS:           t,
+		Expiry:        expiry,
+		Heartbeat:     millis(f.heartbeat),
+		Silence:       millis(f.silence),
+		RetentionMS:   millis(f.logRetention),
+		LingerMS:      millis(f.linger),
+		MaxBodyBytes:  f.maxBody,
+		Dispatch: disp.Settings{
+			Self:          self,
+			Keys:          f.keyLimits(),
+			HorizonMS:     entry.BaseHorizonMS,
+			MaxJobTasks:   f.maxJobTasks,
+			ExplainWaitMS: millis(f.explainWait),
+		},
+	}, nil
+}
+
+func (f *entryFlags) keyLimits() grant.TableLimits {
+	return grant.TableLimits{
+		Window:         millis(f.keyWindow),
+		MaxKeys:        f.maxKeys,
+		MaxAnswerBytes: f.maxAnswers << 20,
+	}
+}
+
+func (a *app) runEntry(ctx context.Context, f *entryFlags) error {
+	log, err := a.logger()
+	if err != nil {
+		return err
+	}
+	s, err := f.settings()
+	if err != nil {
+		return err
+	}
+	client := plog.New(f.logURL)
+	defer client.Close()
+	e := entry.New(s, clock.New(), entry.NewParts(s.Dispatch.Keys), client, log)
+	addresses, err := e.Open()
+	if err != nil {
+		return err
+	}
+	log.Info("entry up", "callers", addresses.Callers, "operators", addresses.Operators, "links", addresses.Links)
+	ctx, cancel := untilSignal(ctx, e.Drain)
+	defer cancel()
+	return endOf(e.Run(ctx))
+}
+
+// endOf takes an end that was asked for as no error.
+func endOf(err error) error {
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
+
+// agentFlags are the settings of an agent.
+type agentFlags struct {
+	hostFlags
+	listen     string
+	entries    []string
+	keyWindow  time.Duration
+	maxTasks   int
+	maxAnswers int
+}
+
+const agentExample = `  turmericbarrow agent --name minion-1 --region pt-centro --zone a \
+    --listen 127.0.0.1:7500 --entries 10.0.0.1:7400,10.0.0.2:7400 \
+    --authority authority.pem --certificate minion-1.pem --key minion-1.key`
+
+func (a *app) agentCommand() *cobra.Command {
+	f := &agentFlags{}
+	c := &cobra.Command{
+		Use:     "agent",
+		Short:   "Run an agent: the only door to the upstream beside it",
+		Example: agentExample,
+		Args:    cobra.NoArgs,
+		RunE:    func(c *cobra.Command, _ []string) error { return a.runAgent(c.Context(), f) },
+	}
+	f.hostFlags.add(c.Flags())
+	c.Flags().StringVar(&f.listen, "listen", "127.0.0.1:7500", "address for the upstream and operators, over HTTP")
+	c.Flags().StringSliceVar(&f.entries, "entries", nil, "link addresses of entries to start from")
+	c.Flags().DurationVar(&f.keyWindow, "key-window", 10*time.Minute, "how long tasks and answers are remembered")
+	c.Flags().IntVar(&f.maxTasks, "max-tasks", 20_000, "most tasks remembered")
+	c.Flags().IntVar(&f.maxAnswers, "max-answer-mb", 16, "most megabytes of answers remembered")
+	return c
+}
+
+func (f *agentFlags) settings() (agent.Settings, error) {
+	self, err := f.host(host.RoleAgent)
+	if err != nil {
+		return agent.Settings{}, err
+	}
+	if err := checkAddress("listen", f.listen); err != nil {
+		return agent.Settings{}, err
+	}
+	if err := checkAddresses("entries", f.entries); err != nil {
+		return agent.Settings{}, err
+	}
+	switch {
+	case len(f.entries) == 0:
+		return agent.Settings{}, badFlag("entries", "[]", "at least one address")
+	case f.keyWindow < time.Second:
+		return agent.Settings{}, badFlag("key-window", f.keyWindow, "1s or more")
+	case f.maxTasks < 1:
+		return agent.Settings{}, badFlag("max-tasks", f.maxTasks, "1 or more")
+	case f.maxAnswers < 1:
+		return agent.Settings{}, badFlag("max-answer-mb", f.maxAnswers, "1 or more")
+	}
+	pair, err := f.pair()
+	if err != nil {
+		return agent.Settings{}, err
+	}
+	t, err := pair.TLS()
+	if err != nil {
+		return agent.Settings{}, err
+	}
+	return agent.Settings{
+		Self:      self,
+		Listen:    f.listen,
+		Entries:   f.entries,
+		TLS:       t,
+		Heartbeat: millis(f.heartbeat),
+		Silence:   millis(f.silence),
+		Slot: slot.Settings{Keep: slot.KeepLimits{
+			Window: millis(f.keyWindow), MaxTasks: f.maxTasks, MaxBytes: f.maxAnswers << 20}},
+	}, nil
+}
+
+func (a *app) runAgent(ctx context.Context, f *agentFlags) error {
+	log, err := a.logger()
+	if err != nil {
+		return err
+	}
+	s, err := f.settings()
+	if err != nil {
+		return err
+	}
+	ag := agent.New(s, clock.New(), fair.New(), log)
+	address, err := ag.Open()
+	if err != nil {
+		return err
+	}
+	log.Info("agent up", "listen", address)
+	ctx, cancel := untilSignal(ctx, ag.Drain)
+	defer cancel()
+	return endOf(ag.Run(ctx))
+}
--- /dev/null
+++ b/pkg/cli/settings.go
@@ -0,0 +1,128 @@
+package cli
+
+import (
+	"net"
+	"net/url"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/spf13/pflag"
+
+	"github.com/turmericbarrow/turmericbarrow/internal/clock"
+	"github.com/turmericbarrow/turmericbarrow/internal/host"
+	"github.com/turmericbarrow/turmericbarrow/internal/keys"
+	"github.com/turmericbarrow/turmericbarrow/internal/zone"
+)
+
+// hostFlags are the settings that every process of the system has.
+type hostFlags struct {
+	name        string
+	region      string
+	zone        string
+	rack        string
+	authority   string
+	certificate string
+	key         string
+	heartbeat   time.Duration
+	silence     time.Duration
+}
+
+func (h *hostFlags) add(f *pflag.FlagSet) {
+	f.StringVar(&h.name, "name", "", "name of this host, as in its certificate")
+	f.StringVar(&h.region, "region", "", "region of this host")
+	f.StringVar(&h.zone, "zone", "", "availability zone of this host")
+	f.StringVar(&h.rack, "rack", "", "rack of this host, if known")
+	f.StringVar(&h.authority, "authority", "", "authority's certificate, as PEM text or a file's path")
+	f.StringVar(&h.certificate, "certificate", "", "this host's certificate, as PEM text or a file's path")
+	f.StringVar(&h.key, "key", "", "this host's private key, as PEM text or a file's path")
+	f.DurationVar(&h.heartbeat, "heartbeat", 600*time.Millisecond, "interval of heartbeats on links")
+	f.DurationVar(&h.silence, "silence", 1800*time.Millisecond, "how long a link may be silent before it is replaced")
+}
+
+// host checks the settings and returns the host that they describe.
+func (h *hostFlags) host(role host.Role) (host.Host, error) {
+	for name, v := range map[string]string{"name": h.name, "region": h.region, "zone": h.zone} {
+		if v == "" {
+			return host.Host{}, badFlag(name, `""`, "a value")
+		}
+	}
+	if h.heartbeat < 50*time.Millisecond || h.heartbeat > 10*time.Second {
+		return host.Host{}, badFlag("heartbeat", h.heartbeat, "50ms to 10s")
+	}
+	if h.silence <= 2*h.heartbeat {
+		return host.Host{}, badFlag("silence", h.silence, "more than twice --heartbeat")
+	}
+	return host.Host{
+		Name:        h.name,
+		Incarnation: host.NewIncarnation(),
+		Role:        role,
+		Place:       zone.Place{Region: h.region, Zone: h.zone, Rack: h.rack},
+	}, nil
+}
+
+// pair reads the host's keys.
+func (h *hostFlags) pair() (keys.Pair, error) {
+	p := keys.Pair{}
+	for _, f := range []struct {
+		flag  string
+		value string
+		to    *[]byte
+	}{
+		{"authority", h.authority, &p.AuthorityPEM},
+		{"certificate", h.certificate, &p.CertPEM},
+		{"key", h.key, &p.KeyPEM},
+	} {
+		data, err := readPEM(f.flag, f.value)
+		if err != nil {
+			return p, err
+		}
+		*f.to = data
+	}
+	return p, nil
+}
+
+// readPEM takes PEM text as it is and reads anything else as a file's path.
+func readPEM(flag, value string) ([]byte, error) {
+	if value == "" {
+		return nil, badFlag(flag, `""`, "PEM text or a file's path")
+	}
+	if strings.HasPrefix(strings.TrimSpace(value), "-----BEGIN") {
+		return []byte(value), nil
+	}
+	data, err := os.ReadFile(value)
+	if err != nil {
+		return nil, errors.Annotatef(err, "--%s", flag)
+	}
+	return data, nil
+}
+
+func checkAddress(flag, value string) error {
+	name, _, err := net.SplitHostPort(value)
+	if err != nil || (name != "" && net.ParseIP(name) == nil) {
+		return badFlag(flag, value, "an IP number and a port, such as 10.0.0.1:7400")
+	}
+	return nil
+}
+
+func checkAddresses(flag string, values []string) error {
+	for _, v := range values {
+		if err := checkAddress(flag, v); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func checkURL(flag, value string) error {
+	u, err := url.Parse(value)
+	if err != nil || u.Host == "" || (u.Scheme != "http" && u.Scheme != "https") {
+		return badFlag(flag, value, "a base URL, such as http://10.0.0.9:7300")
+	}
+	return nil
+}
+
+func millis(d time.Duration) clock.Millis {
+	return clock.FromDuration(d)
+}
