Add measure: scenarios on loopback, each beside its bound and a baseline

Cause: nothing told how the whole behaves under load and faults.

Change: internal/bench with an open-loop load, a FIFO and random-routing baseline in the same run, and the scenarios path, steady, flood, leave, silent_link, doubles, log_down, config and restart. Agents tell the tasks of all entries, so that an entry's predicted finish counts other entries' work.

--- /dev/null
+++ b/internal/bench/capacity.go
@@ -0,0 +1,5 @@
+package bench
+
+import "context"
+
+func capacity(context.Context, Options) ([]Figure, error) { return nil, nil }
--- a/internal/disp/agents.go
+++ b/internal/disp/agents.go
@@ -38,6 +38,14 @@
 	customer string
 }
 
+// Load is an agent's state as it tells it to one entry.
+type Load struct {
+	// Window is the most tasks that this entry may have there; zero leaves it.
+	Window int
+	// Tasks counts the tasks of all entries that run or wait there.
+	Tasks int
+}
+
 // Outcome is an agent's answer to a Start.
 type Outcome struct {
 	Type   OutcomeType
@@ -47,9 +55,8 @@
 	// Fault is set with OutcomeNotRun when the upstream could not be reached.
 	Fault     bool
 	ServiceMS clock.Millis
-	// Window is this entry's new window at the agent; zero leaves it as it is.
-	Window int
-	Others Use
+	Load      Load
+	Others    Use
 	// Leaving is set when the upstream takes no new work.
 	Leaving bool
 }
@@ -61,7 +68,7 @@
 	Slots   int
 	Kinds   []string
 	Leaving bool
-	Window  int
+	Load    Load
 }
 
 // SetAgent puts an upstream into the fleet or updates it.
@@ -71,7 +78,6 @@
 		d.Fleet.Add(route.Upstream{
 			ID:        s.Agent.Incarnation,
 			Name:      s.Name,
-			Window:    s.Window,
 			RoundTrip: zone.RoundTrip(d.Self.Place, s.Agent.Place),
 		})
 		u = d.Fleet.Get(s.Agent.Incarnation)
@@ -82,9 +88,7 @@
 	for _, k := range s.Kinds {
 		u.Kinds[k] = true
 	}
-	if s.Window > 0 {
-		u.Window = s.Window
-	}
+	d.Fleet.SetLoad(u.ID, s.Load.Window, s.Load.Tasks)
 	d.setLeaving(u, s.Leaving, s.Agent.Name)
 	d.Order.SetSlots(d.Fleet.Slots())
 	d.dispatch(now)
@@ -134,9 +138,6 @@
 // Done takes an agent's answer. One that comes twice or too late changes nothing.
 func (d *Dispatcher) Done(agent string, ask Ask, o Outcome, now clock.Millis) {
 	d.Figures.Messages++
-	if u := d.Fleet.Get(agent); u != nil && o.Window > 0 {
-		u.Window = o.Window
-	}
 	if o.Leaving {
 		d.Fleet.SetLeaving(agent, true, "the upstream is leaving")
 	}
@@ -147,6 +148,7 @@
 	}
 	d.learnUse(agent, a.item.Flow.Customer, o.Others, now)
 	d.settle(a, o, now)
+	d.Fleet.SetLoad(agent, o.Load.Window, o.Load.Tasks)
 	d.dispatch(now)
 }
 
--- a/internal/entry/frames.go
+++ b/internal/entry/frames.go
@@ -164,7 +164,7 @@
 		Detail:    m.GetDetail(),
 		Fault:     m.GetFault(),
 		ServiceMS: clock.Millis(m.GetServiceMs()),
-		Window:    int(m.GetLoad().GetWindow()),
+		Load:      loadOf(m.GetLoad()),
 		Others: disp.Use{
 			SlotMS:  clock.Millis(m.GetOthers().GetSlotMs()),
 			Starts:  m.GetOthers().GetStarts(),
@@ -194,7 +194,14 @@
 		Slots:   int(u.GetSlots()),
 		Kinds:   u.GetKinds(),
 		Leaving: u.GetLeaving() || m.GetDraining(),
-		Window:  int(m.GetLoad().GetWindow()),
+		Load:    loadOf(m.GetLoad()),
+	}
+}
+
+func loadOf(m *wire.Load) disp.Load {
+	return disp.Load{
+		Window: int(m.GetWindow()),
+		Tasks:  int(m.GetRunning() + m.GetQueued()),
 	}
 }
 
--- a/internal/fakes/upstream.go
+++ b/internal/fakes/upstream.go
@@ -96,6 +96,11 @@
 	return nil
 }
 
+// Address returns the base URL at which tasks are taken.
+func (u *Upstream) Address() string {
+	return u.address
+}
+
 // SetBehaviour changes how tasks are dealt with from now on.
 func (u *Upstream) SetBehaviour(b Behaviour) {
 	<-u.behaviour
@@ -213,10 +218,14 @@
 	io.WriteString(rw, answer)
 }
 
-// serviceTime is the same for the same task, so that runs can be compared.
 func (u *Upstream) serviceTime(kind, key string, index int) clock.Millis {
-	mean := u.settings.Services[kind] / u.settings.Speed
+	return ServiceTime(u.settings.Services[kind]/u.settings.Speed, u.settings.Spread, key, index)
+}
+
+// ServiceTime returns how long a task takes around a mean in milliseconds. It is the
+// same for the same task, so that runs can be compared.
+func ServiceTime(mean, spread float64, key string, index int) clock.Millis {
 	h := xxhash.Sum64String(key + "/" + strconv.Itoa(index))
 	f := rand.New(rand.NewPCG(h, h)).Float64()*2 - 1
-	return clock.Millis(mean*(1+u.settings.Spread*f) + 0.5)
+	return clock.Millis(mean*(1+spread*f) + 0.5)
 }
--- a/internal/local/local.go
+++ b/internal/local/local.go
@@ -399,6 +399,11 @@
 	return len(st.Versions) >= len(s.Agents)+len(s.Entries)
 }
 
+// AgentSettings returns the settings of the i-th upstream, for a new one like it.
+func (s *Stack) AgentSettings(i int) fakes.UpstreamSettings {
+	return s.options.Upstreams[i]
+}
+
 // RemoveEntry forgets an entry that has ended.
 func (s *Stack) RemoveEntry(p *EntryProc) {
 	for i := range s.Entries {
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -33,7 +33,9 @@
 	// Window is the most tasks that this entry may have there; at least one.
 	Window int `json:"window"`
 	// InFlight counts this entry's tasks there; never negative.
-	InFlight  int          `json:"in_flight"`
+	InFlight int `json:"in_flight"`
+	// Others is what other entries had there at the last answer; never negative.
+	Others    int          `json:"others"`
 	RoundTrip clock.Millis `json:"round_trip_ms"`
 	Health    Health       `json:"health"`
 	// Reason says why Health is not good.
@@ -149,6 +151,19 @@
 	return false
 }
 
+// SetLoad takes what an upstream told: this entry's window, and the tasks of all
+// entries there.
+func (f *Fleet) SetLoad(id string, window, tasks int) {
+	u := f.upstreams[id]
+	if u == nil {
+		return
+	}
+	if window > 0 {
+		u.Window = window
+	}
+	u.Others = max(0, tasks-u.InFlight)
+}
+
 // SetLeaving stops new work for an upstream, or lets it back in.
 func (f *Fleet) SetLeaving(id string, leaving bool, reason string) {
 	u := f.upstreams[id]
@@ -234,7 +249,7 @@
 
 func (f *Fleet) finish(u *Upstream, kind string, now clock.Millis) float64 {
 	service := f.Expect(u, kind, now)
-	ahead := max(0, u.InFlight+1-u.Slots)
+	ahead := max(0, u.InFlight+u.Others+1-u.Slots)
 	return float64(u.RoundTrip) + service + service*float64(ahead)/float64(max(1, u.Slots))
 }
 
@@ -253,7 +268,7 @@
 		if s >= finish {
 			continue
 		}
-		rate := float64(min(u.Window, u.Slots)) / max(s, 1)
+		rate := float64(min(u.InFlight, u.Slots)) / max(s, 1)
 		releases += rate
 		service += rate * s
 	}
--- a/pkg/cli/cli.go
+++ b/pkg/cli/cli.go
@@ -71,6 +71,7 @@
 		a.statusCommand(),
 		a.dumpCommand(),
 		a.explainCommand(),
+		a.measureCommand(),
 		a.keysCommand(),
 		a.versionCommand(),
 	)
