--- a/Makefile
+++ b/Makefile
@@ -40,7 +40,7 @@
 
 .PHONY: model
 model: ## check the specifications and their mutants with spin
-	$(GO) run ./model/check
+	./model/check
 
 .PHONY: bench
 bench: ## benchmarks of the cores
--- /dev/null
+++ b/internal/disp/disp_test.go
@@ -0,0 +1,433 @@
+package disp_test
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/turmericbarrow/turmericbarrow/internal/audit"
+	"github.com/turmericbarrow/turmericbarrow/internal/clock"
+	"github.com/turmericbarrow/turmericbarrow/internal/contr"
+	"github.com/turmericbarrow/turmericbarrow/internal/disp"
+	"github.com/turmericbarrow/turmericbarrow/internal/fair"
+	"github.com/turmericbarrow/turmericbarrow/internal/grant"
+	"github.com/turmericbarrow/turmericbarrow/internal/host"
+	"github.com/turmericbarrow/turmericbarrow/internal/limit"
+	"github.com/turmericbarrow/turmericbarrow/internal/reply"
+	"github.com/turmericbarrow/turmericbarrow/internal/retry"
+	"github.com/turmericbarrow/turmericbarrow/internal/roster"
+	"github.com/turmericbarrow/turmericbarrow/internal/route"
+)
+
+// The same cases on every run.
+func init() { flag.Set("rapid.seed", "1") }
+
+const contractText = `customer: c
+tokens: ["0000000000000000000000000000000000000000000000000000000000000000"]
+share: 1
+rate: {per_second: 1000, burst: 100}
+queue: 50
+retry_percent: 10
+kinds:
+  - {name: check, idempotent: true, share: 1, deadline_ms: 1000}
+  - {name: assign, idempotent: false, share: 1, deadline_ms: 1000}
+`
+
+var agentHost = host.Host{Name: "minion-1", Incarnation: "agent1", Role: host.RoleAgent}
+
+// desk is a dispatcher under test with what came out of it.
+type desk struct {
+	*disp.Dispatcher
+	t       require.TestingT
+	now     clock.Millis
+	callers disp.Caller
+	answers map[disp.Caller]reply.Answer
+	starts  []disp.Start
+	cancels []disp.Cancel
+	others  []disp.Action
+}
+
+func newDesk(t require.TestingT, incarnation string) *desk {
+	fleet := route.New()
+	d := disp.New(disp.Settings{
+		Self:        host.Host{Name: "entry", Incarnation: incarnation, Role: host.RoleEntry},
+		Keys:        grant.TableLimits{Window: 60_000, MaxKeys: 1000, MaxAnswerBytes: 1 << 20},
+		HorizonMS:   5000,
+		MaxJobTasks: 310,
+	}, disp.Parts{
+		Book: contr.NewBook(), Order: fair.New(), Fleet: fleet, Chooser: fleet, Limits: limit.New(), Budgets: retry.New(),
+		Ledger: grant.NewLedger(), Table: grant.NewTable(grant.TableLimits{Window: 60_000, MaxKeys: 1000, MaxAnswerBytes: 1 << 20}),
+		Roster: roster.New(), Audit: audit.New(1000, 100),
+	})
+	k := &desk{Dispatcher: d, t: t, now: 1_000_000, answers: map[disp.Caller]reply.Answer{}}
+	v := d.Book.Amend(0, contr.Amendment{Base: contr.NoVersion, Name: "contract/c", Text: contractText})
+	require.True(t, v.Accepted, v.Reason)
+	d.ConfigChanged(d.Book.Sorted(), k.now)
+	d.Ledger.Begin()
+	return k
+}
+
+func (k *desk) withAgent(h host.Host, slots int) *desk {
+	k.SetAgent(disp.AgentState{Agent: h, Name: h.Name, Slots: slots, Kinds: []string{"check", "assign"}, Load: disp.Load{Window: slots}}, k.now)
+	return k
+}
+
+func (k *desk) take() {
+	for _, a := range k.TakeActions() {
+		switch act := a.(type) {
+		case disp.Reply:
+			_, twice := k.answers[act.Caller]
+			require.False(k.t, twice, "caller %d answered twice", act.Caller)
+			k.answers[act.Caller] = act.Answer
+		case disp.Start:
+			k.starts = append(k.starts, act)
+		case disp.Cancel:
+			k.cancels = append(k.cancels, act)
+		default:
+			k.others = append(k.others, a)
+		}
+	}
+}
+
+func (k *desk) submission(kind, key string, tasks int) disp.Submission {
+	k.callers++
+	s := disp.Submission{
+		Caller: k.callers, Request: fmt.Sprintf("r%d", k.callers), Customer: "c", Kind: kind,
+		Idempotent: kind == "check", Job: tasks > 1, Deadline: k.now + 1000,
+	}
+	if key != "" {
+		parsed, err := grant.ParseKey(key)
+		require.NoError(k.t, err)
+		s.Key = parsed
+	}
+	for i := range tasks {
+		s.Tasks = append(s.Tasks, disp.Task{Payload: []byte{byte(i)}})
+	}
+	return s
+}
+
+func (k *desk) submit(s disp.Submission) disp.Caller {
+	k.Submit(s, k.now)
+	k.take()
+	return s.Caller
+}
+
+func (k *desk) done(s disp.Start, o disp.Outcome) {
+	k.Done(s.Agent, s.Ask, o, k.now)
+	k.take()
+}
+
+func okOutcome(s disp.Start) disp.Outcome {
+	return disp.Outcome{Type: disp.OutcomeOK, ServiceMS: 10, Result: reply.Result{Body: []byte(s.Key)}}
+}
+
+func (k *desk) problem(c disp.Caller) *reply.Problem {
+	a, ok := k.answers[c]
+	require.True(k.t, ok, "caller %d has no answer", c)
+	require.NotNil(k.t, a.Problem)
+	return a.Problem
+}
+
+func TestResubmissionJoinsAndGetsTheSameAnswer(t *testing.T) {
+	k := newDesk(t, "e1").withAgent(agentHost, 8)
+	key := k.Ticket(k.now)
+	first := k.submit(k.submission("assign", key, 1))
+	second := k.submit(k.submission("assign", key, 1))
+	require.Len(t, k.starts, 1)
+	k.done(k.starts[0], okOutcome(k.starts[0]))
+	third := k.submit(k.submission("assign", key, 1))
+	require.Len(t, k.starts, 1)
+	for _, c := range []disp.Caller{first, second, third} {
+		require.True(t, k.answers[c].Complete())
+		require.Equal(t, k.answers[first], k.answers[c])
+	}
+	other := k.submission("assign", key, 1)
+	other.Tasks[0].Payload = []byte("something else")
+	require.Equal(t, reply.TypeKeyReused, k.problem(k.submit(other)).Type)
+}
+
+func TestNonIdempotentIsNeverSentAgainAfterAPossibleStart(t *testing.T) {
+	for _, o := range []disp.OutcomeType{disp.OutcomeMaybe, disp.OutcomeFailed} {
+		k := newDesk(t, "e1").withAgent(agentHost, 8)
+		key := k.Ticket(k.now)
+		c := k.submit(k.submission("assign", key, 1))
+		k.done(k.starts[0], disp.Outcome{Type: o})
+		require.Len(t, k.starts, 1)
+		require.NotEqual(t, reply.RanNo, k.problem(c).Ran)
+		again := k.submit(k.submission("assign", key, 1))
+		require.Len(t, k.starts, 1)
+		require.Equal(t, k.problem(c), k.problem(again))
+	}
+}
+
+func TestNotRunIsSentElsewhere(t *testing.T) {
+	second := host.Host{Name: "minion-2", Incarnation: "agent2", Role: host.RoleAgent}
+	k := newDesk(t, "e1").withAgent(agentHost, 8).withAgent(second, 8)
+	c := k.submit(k.submission("assign", k.Ticket(k.now), 1))
+	k.done(k.starts[0], disp.Outcome{Type: disp.OutcomeNotRun, Detail: "leaving"})
+	require.Len(t, k.starts, 2)
+	require.NotEqual(t, k.starts[0].Agent, k.starts[1].Agent)
+	k.done(k.starts[1], okOutcome(k.starts[1]))
+	require.True(t, k.answers[c].Complete())
+}
+
+func TestUnreachableUpstreamEndsAsNotRun(t *testing.T) {
+	k := newDesk(t, "e1").withAgent(agentHost, 8)
+	c := k.submit(k.submission("assign", k.Ticket(k.now), 1))
+	for i := 0; i < len(k.starts) && i < 100; i++ {
+		k.done(k.starts[i], disp.Outcome{Type: disp.OutcomeNotRun, Fault: true, Detail: "refused"})
+	}
+	require.Less(t, len(k.starts), 20, "the task goes round without rest")
+	k.now += 2000
+	k.Wake(k.now)
+	k.take()
+	require.Equal(t, reply.RanNo, k.problem(c).Ran)
+}
+
+func TestLinkLostResendsOnlyIdempotentWork(t *testing.T) {
+	second := host.Host{Name: "minion-2", Incarnation: "agent2", Role: host.RoleAgent}
+	k := newDesk(t, "e1").withAgent(agentHost, 8)
+	check := k.submit(k.submission("check", "", 1))
+	assign := k.submit(k.submission("assign", k.Ticket(k.now), 1))
+	job := k.submit(k.submission("check", k.Ticket(k.now), 2))
+	k.withAgent(second, 8)
+	k.take()
+	require.Len(t, k.starts, 4)
+	k.AgentGone("agent1", "silent", k.now)
+	k.take()
+	require.Len(t, k.starts, 5)
+	require.Equal(t, "agent2", k.starts[4].Agent)
+	k.done(k.starts[4], okOutcome(k.starts[4]))
+	require.True(t, k.answers[check].Complete())
+	require.Equal(t, reply.RanMaybe, k.problem(assign).Ran)
+	require.Equal(t, reply.RanMaybe, k.problem(job).Ran)
+}
+
+func TestJobIsWholeOrFailed(t *testing.T) {
+	k := newDesk(t, "e1").withAgent(agentHost, 2)
+	c := k.submit(k.submission("assign", k.Ticket(k.now), 4))
+	require.Len(t, k.starts, 2)
+	k.done(k.starts[0], okOutcome(k.starts[0]))
+	require.NotContains(t, k.answers, c)
+	k.done(k.starts[1], disp.Outcome{Type: disp.OutcomeFailed, Detail: "broken"})
+	require.Empty(t, k.answers[c].Results)
+	require.Equal(t, reply.RanYes, k.problem(c).Ran)
+	require.Zero(t, k.Order.Len(), "the rest of the job left the line")
+	require.Len(t, k.cancels, 1, "what ran of the job was withdrawn")
+	starts := len(k.starts)
+	k.done(k.starts[2], okOutcome(k.starts[2]))
+	require.Len(t, k.starts, starts)
+}
+
+func TestCancelledJobThatDidNotRunNeverRuns(t *testing.T) {
+	k := newDesk(t, "e1")
+	k.withAgent(agentHost, 1)
+	k.submit(k.submission("assign", k.Ticket(k.now), 1))
+	key := k.Ticket(k.now)
+	c := k.submit(k.submission("assign", key, 3))
+	cancel := k.submission("assign", key, 3)
+	cancel.Cancel = true
+	by := k.submit(cancel)
+	require.Equal(t, reply.RanNo, k.problem(c).Ran)
+	require.Equal(t, k.problem(c), k.problem(by))
+	k.done(k.starts[0], okOutcome(k.starts[0]))
+	again := k.submit(k.submission("assign", key, 3))
+	require.Equal(t, reply.TypeCancelled, k.problem(again).Type)
+	require.Len(t, k.starts, 1)
+}
+
+func TestDeadlineInLineIsNotRunAndMayBeSentAgain(t *testing.T) {
+	k := newDesk(t, "e1").withAgent(agentHost, 1)
+	k.submit(k.submission("assign", k.Ticket(k.now), 1))
+	key := k.Ticket(k.now)
+	c := k.submit(k.submission("assign", key, 1))
+	k.now += 1000
+	k.Wake(k.now)
+	k.take()
+	require.Equal(t, reply.TypeDeadline, k.problem(c).Type)
+	require.Equal(t, reply.RanNo, k.problem(c).Ran)
+	k.done(k.starts[0], okOutcome(k.starts[0]))
+	again := k.submit(k.submission("assign", key, 1))
+	require.Len(t, k.starts, 2)
+	k.done(k.starts[1], okOutcome(k.starts[1]))
+	require.True(t, k.answers[again].Complete())
+}
+
+func TestLateAnswerIsKeptForTheResubmission(t *testing.T) {
+	k := newDesk(t, "e1").withAgent(agentHost, 1)
+	key := k.Ticket(k.now)
+	c := k.submit(k.submission("assign", key, 1))
+	k.now += 1000
+	k.Wake(k.now)
+	k.take()
+	require.Equal(t, reply.TypeFateUnknown, k.problem(c).Type)
+	k.done(k.starts[0], okOutcome(k.starts[0]))
+	again := k.submit(k.submission("assign", key, 1))
+	require.True(t, k.answers[again].Complete())
+	require.Len(t, k.starts, 1)
+}
+
+func TestRefusalsNameTheLineAndRunNothing(t *testing.T) {
+	k := newDesk(t, "e1")
+	none := k.submit(k.submission("check", "", 1))
+	require.Equal(t, reply.TypeNoUpstream, k.problem(none).Type)
+	k.withAgent(agentHost, 1)
+	large := k.submit(k.submission("assign", k.Ticket(k.now), 60))
+	require.Equal(t, reply.TypeNeverRuns, k.problem(large).Type)
+	require.Equal(t, "queue", k.problem(large).Line)
+	unkeyed := k.submit(k.submission("assign", "", 1))
+	require.Equal(t, reply.TypeMalformed, k.problem(unkeyed).Type)
+	refused := map[reply.Type]string{}
+	for range 200 {
+		c := k.submit(k.submission("check", "", 1))
+		if a, ok := k.answers[c]; ok {
+			refused[a.Problem.Type] = a.Problem.Line
+			require.Equal(t, reply.RanNo, a.Problem.Ran)
+			require.Positive(t, a.Problem.RetryAfter)
+		}
+	}
+	require.Equal(t, "kinds[check].share", refused[reply.TypeDeadline])
+	x, ok := k.Audit.Explain(fmt.Sprintf("r%d", k.callers))
+	require.True(t, ok)
+	require.Equal(t, "kinds[check].share", x.Record.Problem.Line)
+}
+
+func TestPlainKeysBelongToTheGrantHolder(t *testing.T) {
+	k := newDesk(t, "e1").withAgent(agentHost, 8)
+	uuidAt := func(at clock.Millis, n int) string {
+		return fmt.Sprintf("%08x-%04x-7000-8000-%012x", int64(at)>>16, int64(at)&0xffff, n)
+	}
+	parked := k.submit(k.submission("assign", uuidAt(k.now, 1), 1))
+	require.Empty(t, k.starts)
+	all := make([]grant.Range, grant.RangeCount)
+	for i := range all {
+		all[i] = grant.Range(i)
+	}
+	k.Granted(0, k.Self, []grant.Claim{{Ranges: all, From: k.now - 10, Until: k.now + 10}}, false, k.now)
+	k.GrantsRead(k.now)
+	k.take()
+	require.Len(t, k.starts, 1, "the parked submission starts once its key is granted")
+	k.done(k.starts[0], okOutcome(k.starts[0]))
+	require.True(t, k.answers[parked].Complete())
+
+	peer := host.Host{Name: "peer", Incarnation: "e2", Role: host.RoleEntry}
+	k.Granted(1, peer, []grant.Claim{{Ranges: all, From: k.now + 10, Until: k.now + 20}}, false, k.now)
+	gone := k.submit(k.submission("assign", uuidAt(k.now+15, 2), 1))
+	require.Len(t, k.starts, 1)
+	require.Len(t, k.others, 1, "the agents are asked for a key whose entry is gone")
+	find := k.others[0].(disp.Find)
+	k.Found("agent1", find.Ask, nil)
+	k.take()
+	require.Equal(t, reply.RanMaybe, k.problem(gone).Ran)
+
+	k.EntryLinked(peer, true, k.now)
+	k.submit(k.submission("assign", uuidAt(k.now+16, 3), 1))
+	require.IsType(t, disp.Forward{}, k.others[1])
+}
+
+func TestHandoverTellsWhatRanAndWhatNeverDid(t *testing.T) {
+	a := newDesk(t, "e1").withAgent(agentHost, 8)
+	ran, never := a.Ticket(a.now), a.Ticket(a.now)
+	a.submit(a.submission("assign", ran, 1))
+	a.done(a.starts[0], okOutcome(a.starts[0]))
+	a.Draining = true
+	late := a.submit(a.submission("assign", a.Ticket(a.now), 1))
+	require.Equal(t, reply.TypeShuttingDown, a.problem(late).Type)
+	require.True(t, a.Idle())
+
+	b := newDesk(t, "e2").withAgent(agentHost, 8)
+	b.Keep(a.Handover(), b.now)
+	first := b.submit(b.submission("assign", ran, 1))
+	require.Equal(t, []byte(ran), b.answers[first].Results[0].Body)
+	second := b.submit(b.submission("assign", never, 1))
+	require.Equal(t, reply.RanNo, b.problem(second).Ran)
+	require.Empty(t, b.starts)
+}
+
+func TestAnswerOfAGoneEntryIsFoundWithTheAgents(t *testing.T) {
+	b := newDesk(t, "e2").withAgent(agentHost, 8)
+	key := grant.NewTicket("gone", b.now)
+	c := b.submit(b.submission("assign", key, 1))
+	find := b.others[0].(disp.Find)
+	b.Found("agent1", find.Ask, []disp.FoundTask{{Task: 0, Complete: true, Result: reply.Result{Body: []byte("whole")}}})
+	b.take()
+	require.Equal(t, []byte("whole"), b.answers[c].Results[0].Body)
+	require.Empty(t, b.starts)
+}
+
+// TestEveryCallerGetsOneAnswer drives the dispatcher through any order of events.
+func TestEveryCallerGetsOneAnswer(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		k := newDesk(t, "e1").withAgent(agentHost, 2)
+		keys := []string{k.Ticket(k.now), k.Ticket(k.now), k.Ticket(k.now)}
+		ended := map[disp.Ask]bool{}
+		notRun := map[disp.Ask]bool{}
+		gone := map[disp.Ask]bool{}
+		t.Repeat(map[string]func(*rapid.T){
+			"submit": func(t *rapid.T) {
+				tasks := rapid.IntRange(1, 3).Draw(t, "tasks")
+				k.submit(k.submission("assign", keys[tasks-1], tasks))
+			},
+			"check": func(*rapid.T) { k.submit(k.submission("check", "", 1)) },
+			"done": func(t *rapid.T) {
+				if len(k.starts) == 0 {
+					t.Skip("nothing started")
+				}
+				s := k.starts[rapid.IntRange(0, len(k.starts)-1).Draw(t, "start")]
+				o := okOutcome(s)
+				o.Type = disp.OutcomeType(rapid.IntRange(0, 3).Draw(t, "outcome"))
+				if ended[s.Ask] || gone[s.Ask] {
+					t.Skip("has ended")
+				}
+				ended[s.Ask] = true
+				notRun[s.Ask] = o.Type == disp.OutcomeNotRun
+				k.done(s, o)
+			},
+			"time": func(t *rapid.T) {
+				k.now += clock.Millis(rapid.IntRange(1, 700).Draw(t, "ms"))
+				k.Wake(k.now)
+				k.take()
+			},
+			"agent lost": func(*rapid.T) {
+				for _, s := range k.starts {
+					gone[s.Ask] = true
+				}
+				k.AgentGone("agent1", "silent", k.now)
+				k.take()
+				k.withAgent(agentHost, 2)
+				k.take()
+			},
+			"caller gone": func(t *rapid.T) {
+				if k.callers == 0 {
+					t.Skip("no caller")
+				}
+				c := disp.Caller(rapid.IntRange(1, int(k.callers)).Draw(t, "caller"))
+				if _, answered := k.answers[c]; !answered {
+					k.CallerGone(c, k.now)
+					k.take()
+					k.answers[c] = reply.Answer{}
+				}
+			},
+			"": func(t *rapid.T) {
+				possible := map[string]int{}
+				for _, s := range k.starts {
+					if s.Kind == "assign" && !notRun[s.Ask] {
+						possible[fmt.Sprintf("%s/%d", s.Key, s.TaskIndex)]++
+					}
+				}
+				for task, n := range possible {
+					require.LessOrEqual(t, n, 1, "task %s may have started twice", task)
+				}
+			},
+		})
+		k.now += 100_000
+		k.Wake(k.now)
+		k.take()
+		for c := disp.Caller(1); c <= k.callers; c++ {
+			require.Contains(t, k.answers, c, "caller %d has no answer", c)
+		}
+	})
+}
