--- a/internal/fair/fair.go
+++ b/internal/fair/fair.go
@@ -54,6 +54,9 @@
 // allowanceSpanMS is the span over which an urgent allowance may be saved up.
 const allowanceSpanMS = 1000
 
+// minAllowanceRate keeps the time of the next allowance finite.
+const minAllowanceRate = 1e-6
+
 // Queue holds waiting tasks in order of fairness.
 type Queue struct {
 	// Slots is the capacity that allowances are worked out from.
@@ -64,8 +67,10 @@
 	share pque.Queue[*customer]
 	// floor orders the customers of share that are below their floor.
 	floor pque.Queue[*customer]
-	// urgent orders the customers of share that have urgent work.
+	// urgent orders the customers of share that have urgent work and allowance left;
+	// those without wait in later, in order of the time at which they have some.
 	urgent pque.Queue[*customer]
+	later  pque.Queue[*customer]
 	// virtual is the usage for each unit of share at which the last item started;
 	// it never decreases.
 	virtual     float64
@@ -83,6 +88,7 @@
 	shareNode  *pque.Node[*customer]
 	floorNode  *pque.Node[*customer]
 	urgentNode *pque.Node[*customer]
+	laterNode  *pque.Node[*customer]
 
 	// used is the normalised usage; it decreases only when a cost proves smaller.
 	used float64
@@ -95,7 +101,9 @@
 	// allowance is in slot milliseconds, never above a second's worth.
 	allowance   float64
 	allowanceAt clock.Millis
-	active      bool
+	// allowanceRate is in slot milliseconds a millisecond.
+	allowanceRate float64
+	active        bool
 }
 
 type kind struct {
@@ -238,7 +246,8 @@
 	if cu, k := first(&q.floor, func(cu *customer) *kind { return cu.choose(placeable) }); k != nil {
 		return q.take(cu, k, RuleFloor), true
 	}
-	if cu, k := first(&q.urgent, func(cu *customer) *kind { return q.chooseUrgent(cu, now, placeable) }); k != nil {
+	q.wakeUrgent(now)
+	if cu, k := first(&q.urgent, func(cu *customer) *kind { return firstKind(&cu.urgent, placeable) }); k != nil {
 		return q.take(cu, k, RuleUrgent), true
 	}
 	if cu, k := first(&q.share, func(cu *customer) *kind { return cu.choose(placeable) }); k != nil {
@@ -267,12 +276,12 @@
 	return nil, nil
 }
 
-func (q *Queue) chooseUrgent(cu *customer, now clock.Millis, placeable func(string) bool) *kind {
-	q.refill(cu, now)
-	if cu.allowance <= 0 {
-		return nil
+// wakeUrgent brings back the customers whose allowance has some left again.
+func (q *Queue) wakeUrgent(now clock.Millis) {
+	for n := q.later.Min(); n != nil && n.Rank <= float64(now); n = q.later.Min() {
+		q.refill(n.Value, now)
+		q.place(n.Value)
 	}
-	return firstKind(&cu.urgent, placeable)
 }
 
 func (cu *customer) choose(placeable func(string) bool) *kind {
@@ -392,11 +401,12 @@
 // refill adds to the allowance what the customer's share earns in urgent work.
 func (q *Queue) refill(cu *customer, now clock.Millis) {
 	if cu.contract == nil || cu.contract.UrgentPercent == 0 {
-		cu.allowance = 0
+		cu.allowance, cu.allowanceRate = 0, 0
 		return
 	}
 	total := max(q.activeShare, cu.share())
 	rate := float64(q.Slots) * cu.share() / total * cu.contract.UrgentPercent / 100
+	cu.allowanceRate = rate
 	cu.allowance += rate * float64(max(0, now-cu.allowanceAt))
 	cu.allowance = min(cu.allowance, rate*allowanceSpanMS)
 	cu.allowanceAt = now
@@ -407,7 +417,14 @@
 	eligible := cu.waiting > 0 && !cu.atCeiling()
 	setOrRemove(&q.share, cu.shareNode, eligible, cu.used)
 	setOrRemove(&q.floor, cu.floorNode, eligible && cu.belowFloor(), cu.used)
-	setOrRemove(&q.urgent, cu.urgentNode, eligible && cu.urgent.Len() > 0, cu.used)
+	urgent := eligible && cu.urgent.Len() > 0 && cu.allowanceRate > 0
+	setOrRemove(&q.urgent, cu.urgentNode, urgent && cu.allowance > 0, cu.used)
+	setOrRemove(&q.later, cu.laterNode, urgent && cu.allowance <= 0, cu.allowedAt())
+}
+
+// allowedAt returns when the allowance has some left again.
+func (cu *customer) allowedAt() float64 {
+	return float64(cu.allowanceAt) + 1 - cu.allowance/max(cu.allowanceRate, minAllowanceRate)
 }
 
 func setOrRemove[T any](order *pque.Queue[T], n *pque.Node[T], in bool, rank float64) {
@@ -479,6 +496,7 @@
 	cu.shareNode = &pque.Node[*customer]{Value: cu}
 	cu.floorNode = &pque.Node[*customer]{Value: cu}
 	cu.urgentNode = &pque.Node[*customer]{Value: cu}
+	cu.laterNode = &pque.Node[*customer]{Value: cu}
 	q.customers[name] = cu
 	return cu
 }
--- a/internal/fakes/upstream.go
+++ b/internal/fakes/upstream.go
@@ -213,6 +213,7 @@
 	rw.Header().Set("Content-Length", strconv.Itoa(len(answer)))
 	if b == BehaviourCut {
 		io.WriteString(rw, answer[:len(answer)/2])
+		http.NewResponseController(rw).Flush()
 		panic(http.ErrAbortHandler)
 	}
 	io.WriteString(rw, answer)
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -26,9 +26,9 @@
 	MaxFrameBytes = 16 << 20
 	// outboxFrames is the most frames that wait for a slow peer; then the link is
 	// closed, since its task may not block its senders.
-	outboxFrames    = 8192
-	writeBuffer     = 32 << 10
-	readBuffer      = 32 << 10
+	outboxFrames    = 2048
+	writeBuffer     = 8 << 10
+	readBuffer      = 8 << 10
 	helloTimeout    = 3 * time.Second
 	finishTimeout   = 2 * time.Second
 	streamWindow    = 1 << 20
--- a/internal/plog/follow.go
+++ b/internal/plog/follow.go
@@ -33,7 +33,10 @@
 	log    *slog.Logger
 	out    chan<- Followed
 	from   int64
-	back   retry.Backoff
+	// began is false until the first page has come. The first read does not wait: an
+	// entry may claim nothing before it knows that the stream is empty.
+	began bool
+	back  retry.Backoff
 }
 
 // NewFollower returns a follower that sends to out.
@@ -50,7 +53,11 @@
 }
 
 func (f *Follower) step(ctx context.Context) {
-	p, err := f.reader.Read(ctx, f.Stream, f.from, pollMS)
+	wait := pollMS
+	if !f.began {
+		wait = 0
+	}
+	p, err := f.reader.Read(ctx, f.Stream, f.from, wait)
 	if ctx.Err() != nil {
 		return
 	}
@@ -61,6 +68,7 @@
 		return
 	}
 	f.back.Reset()
+	f.began = true
 	f.from = max(f.from, p.Next)
 	f.send(ctx, Followed{Stream: f.Stream, Page: p})
 }
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -81,6 +81,27 @@
 	// sorted holds the upstreams by id, so that equal choices are stable.
 	sorted []*Upstream
 	kinds  map[string]*kindRecord
+	// turn moves the sample of a long list on.
+	turn int
+}
+
+// In a fleet of more than sampleFrom upstreams, a decision looks at sampleSize of
+// them: the best of a few is near the best of all, at a small part of the cost.
+const (
+	sampleFrom = 48
+	sampleSize = 16
+)
+
+// sample returns the upstreams that the next decision looks at. They are ordered by
+// random ids, so that neighbours are a random choice.
+func (f *Fleet) sample() []*Upstream {
+	n := len(f.sorted)
+	if n <= sampleFrom {
+		return f.sorted
+	}
+	f.turn = (f.turn + sampleSize) % n
+	end := min(f.turn+sampleSize, n)
+	return f.sorted[f.turn:end]
 }
 
 // kindRecord is what is known of a kind over all upstreams.
@@ -251,9 +272,26 @@
 // first while waiting tasks stand in line, or nil when it is better to wait. An
 // upstream in avoid is taken only if there is no other.
 func (f *Fleet) Choose(kind string, waiting int, now clock.Millis, avoid map[string]bool) *Upstream {
+	among := f.sample()
+	best, finish := f.best(among, kind, now, avoid)
+	if best == nil && len(among) < len(f.sorted) {
+		among = f.sorted
+		best, finish = f.best(among, kind, now, avoid)
+	}
+	if best == nil && len(avoid) > 0 {
+		return f.Choose(kind, waiting, now, nil)
+	}
+	if best == nil || f.worthWaiting(among, kind, waiting, now, finish) {
+		return nil
+	}
+	return best
+}
+
+// best returns the open upstream of earliest predicted finish, and that.
+func (f *Fleet) best(among []*Upstream, kind string, now clock.Millis, avoid map[string]bool) (*Upstream, float64) {
 	var best *Upstream
 	bestFinish := 0.0
-	for _, u := range f.sorted {
+	for _, u := range among {
 		if !f.open(u, kind, now) || avoid[u.ID] {
 			continue
 		}
@@ -262,13 +300,7 @@
 			best, bestFinish = u, finish
 		}
 	}
-	if best == nil && len(avoid) > 0 {
-		return f.Choose(kind, waiting, now, nil)
-	}
-	if best == nil || f.worthWaiting(kind, waiting, now, bestFinish) {
-		return nil
-	}
-	return best
+	return best, bestFinish
 }
 
 func (f *Fleet) finish(u *Upstream, kind string, now clock.Millis) float64 {
@@ -286,10 +318,10 @@
 // again; the fuller the faster upstreams are, the more of them. Counting its own
 // wait alone kept the line so long that the median was 1.6 times the ideal at 70 %
 // load.
-func (f *Fleet) worthWaiting(kind string, waiting int, now clock.Millis, finish float64) bool {
+func (f *Fleet) worthWaiting(among []*Upstream, kind string, waiting int, now clock.Millis, finish float64) bool {
 	releases := 0.0 // tasks a millisecond
 	busy := 0
-	for _, u := range f.sorted {
+	for _, u := range among {
 		if !f.takes(u, kind, now) || u.InFlight < u.Window {
 			continue
 		}
--- a/model/config.pml
+++ b/model/config.pml
@@ -71,6 +71,7 @@
              assert(base[pos] >= mine);
              mine = base[pos]; based = true;
              j = cover[pos];
+             if :: j < need -> j = need :: else -> skip fi; /* what was missed is gone */
              do
              :: j < pos -> if :: kind[j] == amend -> judge(j) :: else -> skip fi; j++
              :: else -> break
