Count the wait in an agent's queue for those who come later too

Two tasks waited in the fast upstream's agent queue although a slower one was free: the predicted finish counted only their own wait there.

Change: that wait counts by the same factor as the wait at the entry. Scenario flood_one_entry.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -25,13 +25,28 @@
 	// Listen is where the upstream announces itself and operators look, over HTTP.
 	Listen string
 	// Entries are addresses of entries to start from.
-	Entries   []string
+	Entries []string
+	// Scope is how far away entries may stand that the agent links to.
+	Scope     Scope
+	Expiry    time.Time
 	TLS       *tls.Config
 	Heartbeat clock.Millis
 	Silence   clock.Millis
 	Slot      slot.Settings
 }
 
+// Scope bounds the entries that an agent links to, besides those in its settings.
+type Scope string
+
+// The scopes of links.
+const (
+	// ScopeRegion links to every entry of the region.
+	ScopeRegion Scope = "region"
+	// ScopeZone links to the entries of the agent's availability zone, which keeps a
+	// large region's entries within their allowance for control.
+	ScopeZone Scope = "zone"
+)
+
 // Clock tells the time.
 type Clock interface {
 	Now() clock.Millis
@@ -92,7 +107,7 @@
 
 // Open binds the agent's socket and returns its address.
 func (a *Agent) Open() (string, error) {
-	return a.web.open()
+	return a.web.Open()
 }
 
 // Drain asks the agent to finish what it has and end.
@@ -108,7 +123,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	done := make(chan error, 2)
 	go a.node.Run(ctx, done)
-	go a.web.run(ctx, done)
+	go a.web.runTask(ctx, done)
 	for _, e := range a.settings.Entries {
 		a.node.Dial(e)
 	}
@@ -297,7 +312,7 @@
 func (a *Agent) onRoster(m *wire.Roster, now clock.Millis) {
 	for _, e := range m.GetEntries() {
 		address := e.GetAddress()
-		if address == "" || e.GetRegion() != a.settings.Self.Place.Region {
+		if address == "" || !a.inScope(e) {
 			continue
 		}
 		if _, known := a.listed[address]; !known {
@@ -307,6 +322,14 @@
 	}
 }
 
+func (a *Agent) inScope(e *wire.Hello) bool {
+	place := a.settings.Self.Place
+	if e.GetRegion() != place.Region {
+		return false
+	}
+	return a.settings.Scope != ScopeZone || e.GetZone() == place.Zone
+}
+
 // carryOut turns the core's actions into calls and frames.
 func (a *Agent) carryOut(ctx context.Context) {
 	for _, action := range a.core.TakeActions() {
--- a/internal/agent/web.go
+++ b/internal/agent/web.go
@@ -6,24 +6,21 @@
 	"fmt"
 	"io"
 	"log/slog"
-	"net"
 	"net/http"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/gorilla/mux"
-	"github.com/juju/errors"
 
 	"github.com/turmericbarrow/turmericbarrow/internal/clock"
+	"github.com/turmericbarrow/turmericbarrow/internal/serve"
 	"github.com/turmericbarrow/turmericbarrow/internal/slot"
 )
 
 // Bounds of the agent's HTTP interface.
 const (
 	maxAnnouncementBytes = 64 << 10
-	maxHeaderBytes       = 16 << 10
-	readTimeout          = 5 * time.Second
-	shutdownTimeout      = time.Second
+	queryTimeout         = 5 * time.Second
 	maxSlots             = 4096
 	minHoldMS            = clock.Millis(100)
 )
@@ -57,6 +54,8 @@
 	ConfigVersion int64          `json:"config_version"`
 	Entries       []string       `json:"entries"`
 	Windows       map[string]int `json:"windows"`
+
+	CertificateExpiry time.Time `json:"certificate_expiry"`
 }
 
 func (m announce) apply(a *Agent) {
@@ -94,6 +93,8 @@
 		Started:       a.core.Started,
 		ConfigVersion: a.book.Version,
 		Windows:       map[string]int{},
+
+		CertificateExpiry: a.settings.Expiry,
 	}
 	for inc, l := range a.links {
 		s.Entries = append(s.Entries, l.Peer.Name)
@@ -102,44 +103,23 @@
 	m.state <- s
 }
 
-// web is the task that owns the agent's listening socket.
+// web is the agent's HTTP interface, for its upstream and for operators.
 type web struct {
-	listen string
-	inbox  chan<- message
-	log    *slog.Logger
-	socket net.Listener
+	*serve.Server
+	inbox chan<- message
 }
 
 func newWeb(listen string, inbox chan<- message, log *slog.Logger) *web {
-	return &web{listen: listen, inbox: inbox, log: log}
-}
-
-func (w *web) open() (string, error) {
-	l, err := net.Listen("tcp", w.listen)
-	if err != nil {
-		return "", errors.Annotatef(err, "listen for the upstream on %s", w.listen)
-	}
-	w.socket = l
-	return l.Addr().String(), nil
+	return &web{Server: serve.New(listen, log), inbox: inbox}
 }
 
-func (w *web) run(ctx context.Context, done chan<- error) {
+func (w *web) runTask(ctx context.Context, done chan<- error) {
 	r := mux.NewRouter()
 	r.HandleFunc("/v1/upstream", w.announce).Methods(http.MethodPut)
 	r.HandleFunc("/v1/upstream", w.leave).Methods(http.MethodDelete)
 	r.HandleFunc("/debug/state", w.state).Methods(http.MethodGet)
 	r.HandleFunc("/metrics", w.metrics).Methods(http.MethodGet)
-	s := &http.Server{Handler: r, ReadTimeout: readTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ErrorLog: slog.NewLogLogger(w.log.Handler(), slog.LevelDebug)}
-	ended := make(chan error, 1)
-	go func() { ended <- s.Serve(w.socket) }()
-	<-ctx.Done()
-	limit, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
-	defer cancel()
-	if err := s.Shutdown(limit); err != nil {
-		s.Close()
-	}
-	done <- errors.Annotatef(<-ended, "serve the upstream on %s", w.listen)
+	w.Run(ctx, r, done)
 }
 
 func (w *web) announce(rw http.ResponseWriter, r *http.Request) {
@@ -191,7 +171,7 @@
 	select {
 	case <-done:
 		rw.WriteHeader(http.StatusNoContent)
-	case <-time.After(readTimeout):
+	case <-time.After(queryTimeout):
 		http.Error(rw, "the agent is stopping", http.StatusServiceUnavailable)
 	}
 }
@@ -206,7 +186,7 @@
 	select {
 	case s := <-state:
 		return s, true
-	case <-time.After(readTimeout):
+	case <-time.After(queryTimeout):
 		return State{}, false
 	}
 }
@@ -239,6 +219,7 @@
 	set.NewGauge("turmericbarrow_agent_queued", func() float64 { return float64(s.Queued) })
 	set.NewGauge("turmericbarrow_agent_links", func() float64 { return float64(len(s.Entries)) })
 	set.NewGauge("turmericbarrow_config_version", func() float64 { return float64(s.ConfigVersion) })
+	set.NewGauge("turmericbarrow_certificate_expiry_seconds", func() float64 { return float64(s.CertificateExpiry.Unix()) })
 	set.NewCounter("turmericbarrow_agent_tasks_started_total").Set(s.Started)
 	set.WritePrometheus(w)
 }
--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -56,6 +56,7 @@
 		{"steady_90", steady(0.9)},
 		{"flood_low", flood(floodLow)},
 		{"flood_urgent", flood(floodUrgent)},
+		{"flood_one_entry", floodOneEntry},
 		{"leave", leave},
 		{"silent_link", silentLink},
 		{"doubles", doubles},
--- a/internal/bench/flood.go
+++ b/internal/bench/flood.go
@@ -85,3 +85,44 @@
 		{token: tokenOf(customerJoiners), kind: "lookup", perSecond: third * capacityOf("lookup"), timeout: 2000},
 	}
 }
+
+// floodOneEntry measures what a quiet customer at one entry keeps while another
+// floods in through the other entry alone. Both have the same share.
+func floodOneEntry(ctx context.Context, o Options) ([]Figure, error) {
+	var values [2]floodResult
+	for i, baseline := range []bool{true, false} {
+		r, err := oneEntryRun(ctx, o, baseline)
+		if err != nil {
+			return nil, err
+		}
+		values[i] = r
+	}
+	return []Figure{
+		atLeast("flood_keep", values[1].keep, boundFloodKeep).against(values[0].keep),
+		plain("quiet_p99_ms", values[1].p99).against(values[0].p99),
+	}, nil
+}
+
+func oneEntryRun(ctx context.Context, o Options, baseline bool) (floodResult, error) {
+	r := floodResult{}
+	err := with(ctx, o, options(o, baseline), func(_ *local.Stack, g *generator) error {
+		span := time.Duration(o.Seconds) * time.Second
+		quiet := source{token: tokenOf(customerJoiners), kind: "check", timeout: 2000, entry: 2, perSecond: otherLoad * capacityOf("check")}
+		stream := source{token: tokenOf(customerEvents), kind: "check", timeout: 5000, flood: true, entry: 1,
+			perSecond: floodFactor * capacityOf("check") / 2}
+		g.run(ctx, warmUp, []source{quiet})
+		without := g.run(ctx, span, []source{quiet})
+		during := g.run(ctx, span, []source{quiet, stream})
+		r.keep = part(during, isNotFlood, sample.inDeadline) / part(without, isNotFlood, sample.inDeadline)
+		h := newHistogram()
+		for _, s := range during {
+			if isNotFlood(s) {
+				h.add(float64(s.took.Milliseconds()))
+			}
+		}
+		r.p99 = h.at(99)
+		o.progress(fmt.Sprintf("  baseline %t: %s", baseline, outcomes(during)))
+		return nil
+	})
+	return r, err
+}
--- a/internal/bench/load.go
+++ b/internal/bench/load.go
@@ -28,6 +28,8 @@
 	// keyed sends each request under a fresh ticket.
 	keyed bool
 	flood bool
+	// entry is the number of the only entry to use, from one; zero for any.
+	entry int
 }
 
 // sample is the outcome of one request.
@@ -106,7 +108,7 @@
 		sent++
 		if inFlight < maxInFlight {
 			inFlight++
-			go g.one(ctx, sources[i], g.entry(), sent, results)
+			go g.one(ctx, sources[i], g.entry(sources[i]), sent, results)
 		} else {
 			out = append(out, sample{source: sources[i], failed: errBusy})
 		}
@@ -151,8 +153,11 @@
 	return time.Duration(g.random.ExpFloat64() / s.perSecond * float64(time.Second))
 }
 
-func (g *generator) entry() string {
+func (g *generator) entry(s source) string {
 	es := g.entries()
+	if s.entry > 0 {
+		return es[s.entry-1]
+	}
 	return es[g.random.IntN(len(es))]
 }
 
--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -8,11 +8,9 @@
 	"fmt"
 	"io"
 	"log/slog"
-	"net"
 	"net/http"
 	"strconv"
 	"strings"
-	"time"
 
 	"github.com/google/uuid"
 	"github.com/gorilla/mux"
@@ -22,6 +20,7 @@
 	"github.com/turmericbarrow/turmericbarrow/internal/disp"
 	"github.com/turmericbarrow/turmericbarrow/internal/grant"
 	"github.com/turmericbarrow/turmericbarrow/internal/reply"
+	"github.com/turmericbarrow/turmericbarrow/internal/serve"
 )
 
 // Headers of the callers' interface.
@@ -35,68 +34,19 @@
 
 // Bounds of the callers' interface.
 const (
-	maxHeaderBytes    = 16 << 10
-	readHeaderTimeout = 5 * time.Second
-	readTimeout       = 15 * time.Second
-	idleTimeout       = 2 * time.Minute
-	shutdownTimeout   = 3 * time.Second
-	maxTickets        = 1000
-	maxTimeoutMS      = clock.Millis(600_000)
+	maxTickets   = 1000
+	maxTimeoutMS = clock.Millis(600_000)
 )
 
-// server is a task that owns a listening socket.
+// server is an HTTP interface of the entry: a socket, and the way to the entry's task.
 type server struct {
-	listen string
-	clock  Clock
-	inbox  chan<- message
-	log    *slog.Logger
-	socket net.Listener
-	stop   chan struct{}
+	*serve.Server
+	clock Clock
+	inbox chan<- message
 }
 
 func newServer(listen string, c Clock, inbox chan<- message, log *slog.Logger) server {
-	return server{listen: listen, clock: c, inbox: inbox, log: log, stop: make(chan struct{}, 1)}
-}
-
-func (s *server) open() (string, error) {
-	l, err := net.Listen("tcp", s.listen)
-	if err != nil {
-		return "", errors.Annotatef(err, "listen on %s", s.listen)
-	}
-	s.socket = l
-	return l.Addr().String(), nil
-}
-
-// close stops taking connections; what is in flight is finished.
-func (s *server) close() {
-	select {
-	case s.stop <- struct{}{}:
-	default:
-	}
-}
-
-// serve runs the server until it is closed or ctx ends.
-func (s *server) serve(ctx context.Context, h http.Handler, done chan<- error) {
-	hs := &http.Server{
-		Handler:           h,
-		ReadHeaderTimeout: readHeaderTimeout,
-		ReadTimeout:       readTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-		ErrorLog:          slog.NewLogLogger(s.log.Handler(), slog.LevelDebug),
-	}
-	ended := make(chan error, 1)
-	go func() { ended <- hs.Serve(s.socket) }()
-	select {
-	case <-ctx.Done():
-	case <-s.stop:
-	}
-	limit, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
-	defer cancel()
-	if err := hs.Shutdown(limit); err != nil {
-		hs.Close()
-	}
-	done <- errors.Annotatef(<-ended, "serve on %s", s.listen)
+	return server{Server: serve.New(listen, log), clock: c, inbox: inbox}
 }
 
 // send passes a message to the entry's task; it reports whether it was taken.
@@ -120,7 +70,7 @@
 
 func newCallersWeb(s Settings, c Clock, inbox chan<- message, log *slog.Logger) *callersWeb {
 	w := &callersWeb{server: newServer(s.Listen, c, inbox, log), maxBody: s.MaxBodyBytes, incarnation: s.Self.Incarnation, ready: make(chan bool, 1)}
-	w.ready <- true
+	w.ready <- false
 	return w
 }
 
@@ -129,7 +79,7 @@
 	w.ready <- ready
 }
 
-func (w *callersWeb) run(ctx context.Context, done chan<- error) {
+func (w *callersWeb) runTask(ctx context.Context, done chan<- error) {
 	r := mux.NewRouter()
 	r.HandleFunc("/v1/requests/{kind}", w.request).Methods(http.MethodPost)
 	r.HandleFunc("/v1/jobs", w.job).Methods(http.MethodPost)
@@ -139,7 +89,7 @@
 	r.HandleFunc("/readyz", w.readyz).Methods(http.MethodGet)
 	r.NotFoundHandler = http.HandlerFunc(notFound)
 	r.MethodNotAllowedHandler = http.HandlerFunc(notFound)
-	w.serve(ctx, r, done)
+	w.Run(ctx, r, done)
 }
 
 func notFound(rw http.ResponseWriter, _ *http.Request) {
@@ -153,7 +103,7 @@
 func (w *callersWeb) readyz(rw http.ResponseWriter, _ *http.Request) {
 	if !w.isReady() {
 		rw.WriteHeader(http.StatusServiceUnavailable)
-		fmt.Fprintln(rw, "draining")
+		fmt.Fprintln(rw, "draining, or without a configuration")
 		return
 	}
 	fmt.Fprintln(rw, "ready")
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -170,10 +170,10 @@
 	if e.settings.AdvertisedLinks != "" {
 		e.Advertise(e.settings.AdvertisedLinks)
 	}
-	if a.Callers, err = e.callers.open(); err != nil {
+	if a.Callers, err = e.callers.Open(); err != nil {
 		return a, err
 	}
-	a.Operators, err = e.operators.open()
+	a.Operators, err = e.operators.Open()
 	return a, err
 }
 
@@ -201,8 +201,8 @@
 	ctx, cancel := context.WithCancel(ctx)
 	done := make(chan error, entryTasks+platformTasks)
 	go e.node.Run(ctx, done)
-	go e.callers.run(ctx, done)
-	go e.operators.run(ctx, done)
+	go e.callers.runTask(ctx, done)
+	go e.operators.runTask(ctx, done)
 	e.platform.start(ctx, done)
 	for _, s := range e.settings.Seeds {
 		e.dial(s)
@@ -380,7 +380,7 @@
 	if e.phase == phaseLeaving && e.clock.Now() >= e.drainedAt {
 		e.phase = phaseDraining
 		e.disp.Draining = true
-		e.callers.close()
+		e.callers.Close()
 	}
 	return e.phase == phaseDraining && e.disp.Idle() && len(e.waiting) == 0
 }
--- a/internal/entry/frames.go
+++ b/internal/entry/frames.go
@@ -93,8 +93,21 @@
 	return s
 }
 
+// maxPassedBytes is the largest answer that fits a frame beside its other fields.
+const maxPassedBytes = link.MaxFrameBytes - 1<<20
+
+// passable returns an answer that fits a frame. One that is too large would end the
+// link for everybody.
+func passable(a reply.Answer) reply.Answer {
+	if a.Size() <= maxPassedBytes {
+		return a
+	}
+	return reply.Answer{Request: a.Request, Problem: &reply.Problem{Type: reply.TypeAnswerGone, Ran: reply.RanYes,
+		Detail: "the answer is too large to pass between entries"}}
+}
+
 func answeredFrame(ask uint64, a reply.Answer) *wire.Frame {
-	return &wire.Frame{Body: &wire.Frame_Answered{Answered: &wire.Answered{Ask: ask, Answer: encodeAnswer(a)}}}
+	return &wire.Frame{Body: &wire.Frame_Answered{Answered: &wire.Answered{Ask: ask, Answer: encodeAnswer(passable(a))}}}
 }
 
 // The states of an answer on a link.
@@ -205,17 +218,30 @@
 	}
 }
 
-// handoverPart is the number of answers in one frame of a handover.
-const handoverPart = 64
+// Bounds of one frame of a handover.
+const (
+	handoverPart  = 64
+	handoverBytes = 1 << 20
+)
+
+// handoverLength returns how many of the answers go into one frame.
+func handoverLength(answers []disp.KeptAnswer) int {
+	n, size := 0, 0
+	for n < min(handoverPart, len(answers)) && size < handoverBytes {
+		size += answers[n].Answer.Size()
+		n++
+	}
+	return n
+}
 
 func handoverFrames(h disp.Handover) []*wire.Frame {
 	var frames []*wire.Frame
 	for {
-		n := min(handoverPart, len(h.Answers))
+		n := handoverLength(h.Answers)
 		m := &wire.Handover{Incarnation: h.Incarnation, Last: n == len(h.Answers), FloorMs: int64(h.Floor)}
 		for _, a := range h.Answers[:n] {
 			m.Answers = append(m.Answers, &wire.KeptAnswer{
-				Customer: a.ID.Customer, Key: a.ID.Key, Answer: encodeAnswer(a.Answer)})
+				Customer: a.ID.Customer, Key: a.ID.Key, Answer: encodeAnswer(passable(a.Answer))})
 		}
 		h.Answers = h.Answers[n:]
 		frames = append(frames, &wire.Frame{Body: &wire.Frame_Handover{Handover: m}})
--- a/internal/entry/links.go
+++ b/internal/entry/links.go
@@ -219,6 +219,7 @@
 
 func (e *Entry) configChanged(changed []contr.Document, now clock.Millis) {
 	e.disp.ConfigChanged(changed, now)
+	e.callers.setReady(e.phase == phaseServing)
 	e.log.Info("configuration in force", "version", e.book.Version, "changed", len(changed))
 	for inc, a := range e.agents {
 		if e.book.Retired(contr.PrefixHost, a.link.Peer.Name) {
--- a/internal/entry/operators.go
+++ b/internal/entry/operators.go
@@ -42,7 +42,7 @@
 	return &operatorsWeb{server: newServer(s.Operators, c, inbox, log), token: s.OperatorToken}
 }
 
-func (w *operatorsWeb) run(ctx context.Context, done chan<- error) {
+func (w *operatorsWeb) runTask(ctx context.Context, done chan<- error) {
 	r := mux.NewRouter()
 	r.Use(w.authorize)
 	r.HandleFunc("/metrics", w.metrics).Methods(http.MethodGet)
@@ -51,7 +51,7 @@
 	r.HandleFunc("/v1/amendments", w.amend).Methods(http.MethodPost)
 	r.HandleFunc("/v1/explain/{request}", w.explain).Methods(http.MethodGet)
 	r.HandleFunc("/v1/explain", w.explain).Methods(http.MethodGet)
-	w.serve(ctx, r, done)
+	w.Run(ctx, r, done)
 }
 
 func (w *operatorsWeb) authorize(next http.Handler) http.Handler {
--- a/internal/fair/fair.go
+++ b/internal/fair/fair.go
@@ -78,51 +78,6 @@
 	length      int
 }
 
-type customer struct {
-	name     string
-	contract *contr.Contract
-	kinds    map[string]*kind
-	order    pque.Queue[*kind]
-	urgent   pque.Queue[*kind]
-
-	shareNode  *pque.Node[*customer]
-	floorNode  *pque.Node[*customer]
-	urgentNode *pque.Node[*customer]
-	laterNode  *pque.Node[*customer]
-
-	// used is the normalised usage; it decreases only when a cost proves smaller.
-	used float64
-	// virtual is to kinds what Queue.virtual is to customers.
-	virtual float64
-	waiting int
-	// running counts started items here, others those at other entries.
-	running int
-	others  int
-	// allowance is in slot milliseconds, never above a second's worth.
-	allowance   float64
-	allowanceAt clock.Millis
-	// allowanceRate is in slot milliseconds a millisecond.
-	allowanceRate float64
-	active        bool
-}
-
-type kind struct {
-	name    string
-	share   float64
-	urgent  bool
-	used    float64
-	lots    []*lot
-	byLot   map[uint64]*lot
-	waiting int
-	node    *pque.Node[*kind]
-	hot     *pque.Node[*kind]
-}
-
-type lot struct {
-	id    uint64
-	items []Item
-}
-
 // New returns an empty queue.
 func New() *Queue {
 	return &Queue{customers: map[string]*customer{}}
@@ -256,10 +211,10 @@
 	return Pick{}, false
 }
 
-// first returns the lowest-ranked customer for which choose finds a kind. Customers
-// that are passed over go back where they stood.
-func first(order *pque.Queue[*customer], choose func(*customer) *kind) (*customer, *kind) {
-	var passed []*pque.Node[*customer]
+// first returns the lowest-ranked value for which want finds something, and that.
+// Values that are passed over go back where they stood.
+func first[T, F any](order *pque.Queue[T], want func(T) *F) (T, *F) {
+	var passed []*pque.Node[T]
 	defer func() {
 		for _, n := range passed {
 			order.Set(n, n.Rank)
@@ -267,13 +222,25 @@
 	}()
 	for order.Len() > 0 {
 		n := order.Min()
-		if k := choose(n.Value); k != nil {
-			return n.Value, k
+		if f := want(n.Value); f != nil {
+			return n.Value, f
 		}
 		order.Remove(n)
 		passed = append(passed, n)
 	}
-	return nil, nil
+	var none T
+	return none, nil
+}
+
+// firstKind returns the lowest-ranked kind that can be placed.
+func firstKind(order *pque.Queue[*kind], placeable func(string) bool) *kind {
+	_, k := first(order, func(k *kind) *kind {
+		if !placeable(k.name) {
+			return nil
+		}
+		return k
+	})
+	return k
 }
 
 // wakeUrgent brings back the customers whose allowance has some left again.
@@ -288,30 +255,6 @@
 	return firstKind(&cu.order, placeable)
 }
 
-func firstKind(order *pque.Queue[*kind], placeable func(string) bool) *kind {
-	if n := order.Min(); n == nil || placeable(n.Value.name) {
-		if n == nil {
-			return nil
-		}
-		return n.Value
-	}
-	var passed []*pque.Node[*kind]
-	defer func() {
-		for _, n := range passed {
-			order.Set(n, n.Rank)
-		}
-	}()
-	for order.Len() > 0 {
-		n := order.Min()
-		if placeable(n.Value.name) {
-			return n.Value
-		}
-		order.Remove(n)
-		passed = append(passed, n)
-	}
-	return nil
-}
-
 func (q *Queue) take(cu *customer, k *kind, r Rule) Pick {
 	it := k.pop()
 	q.virtual = max(q.virtual, cu.used)
@@ -411,171 +354,3 @@
 	cu.allowance = min(cu.allowance, rate*allowanceSpanMS)
 	cu.allowanceAt = now
 }
-
-// place puts the customer into the orders that it belongs to now.
-func (q *Queue) place(cu *customer) {
-	eligible := cu.waiting > 0 && !cu.atCeiling()
-	setOrRemove(&q.share, cu.shareNode, eligible, cu.used)
-	setOrRemove(&q.floor, cu.floorNode, eligible && cu.belowFloor(), cu.used)
-	urgent := eligible && cu.urgent.Len() > 0 && cu.allowanceRate > 0
-	setOrRemove(&q.urgent, cu.urgentNode, urgent && cu.allowance > 0, cu.used)
-	setOrRemove(&q.later, cu.laterNode, urgent && cu.allowance <= 0, cu.allowedAt())
-}
-
-// allowedAt returns when the allowance has some left again.
-func (cu *customer) allowedAt() float64 {
-	return float64(cu.allowanceAt) + 1 - cu.allowance/max(cu.allowanceRate, minAllowanceRate)
-}
-
-func setOrRemove[T any](order *pque.Queue[T], n *pque.Node[T], in bool, rank float64) {
-	if in {
-		order.Set(n, rank)
-		return
-	}
-	order.Remove(n)
-}
-
-func (cu *customer) atCeiling() bool {
-	c := cu.contract
-	return c != nil && c.CeilingSlots > 0 && cu.running+cu.others >= c.CeilingSlots
-}
-
-func (cu *customer) belowFloor() bool {
-	return cu.contract != nil && cu.running+cu.others < cu.contract.FloorSlots
-}
-
-func (cu *customer) share() float64 {
-	if cu.contract == nil {
-		return unknownShare
-	}
-	return cu.contract.Share
-}
-
-// activate gives a customer that comes back no credit for the time it was idle.
-func (cu *customer) activate(q *Queue) {
-	if cu.active {
-		return
-	}
-	cu.active = true
-	cu.used = max(cu.used, q.virtual)
-	q.activeShare += cu.share()
-}
-
-func (cu *customer) deactivate(q *Queue) {
-	if !cu.active || cu.waiting > 0 || cu.running > 0 {
-		return
-	}
-	cu.active = false
-	q.activeShare -= cu.share()
-}
-
-func (cu *customer) placeKind(k *kind) {
-	setOrRemove(&cu.order, k.node, k.waiting > 0, k.used)
-	setOrRemove(&cu.urgent, k.hot, k.waiting > 0 && k.urgent, k.used)
-}
-
-func (cu *customer) configure(k *kind) {
-	k.share = unknownShare
-	k.urgent = false
-	if cu.contract == nil {
-		return
-	}
-	if c := cu.contract.Kind(k.name); c != nil {
-		k.share = c.Share
-		k.urgent = c.Priority == contr.PriorityUrgent
-	}
-	cu.placeKind(k)
-}
-
-func (q *Queue) customer(name string) *customer {
-	cu, ok := q.customers[name]
-	if ok {
-		return cu
-	}
-	cu = &customer{name: name, kinds: map[string]*kind{}}
-	cu.shareNode = &pque.Node[*customer]{Value: cu}
-	cu.floorNode = &pque.Node[*customer]{Value: cu}
-	cu.urgentNode = &pque.Node[*customer]{Value: cu}
-	cu.laterNode = &pque.Node[*customer]{Value: cu}
-	q.customers[name] = cu
-	return cu
-}
-
-func (cu *customer) kind(name string) *kind {
-	k, ok := cu.kinds[name]
-	if ok {
-		return k
-	}
-	k = &kind{name: name, byLot: map[uint64]*lot{}}
-	k.node = &pque.Node[*kind]{Value: k}
-	k.hot = &pque.Node[*kind]{Value: k}
-	cu.kinds[name] = k
-	cu.configure(k)
-	return k
-}
-
-func (k *kind) push(it Item, front bool) {
-	l, ok := k.byLot[it.Lot]
-	if !ok {
-		l = &lot{id: it.Lot}
-		k.byLot[it.Lot] = l
-		k.lots = append(k.lots, l)
-	}
-	if front {
-		l.items = append([]Item{it}, l.items...)
-	} else {
-		l.items = append(l.items, it)
-	}
-	k.waiting++
-}
-
-// pop takes the first item of the first lot, and the lot goes to the end.
-func (k *kind) pop() Item {
-	l := k.lots[0]
-	it := l.items[0]
-	l.items = l.items[1:]
-	k.lots = k.lots[1:]
-	k.waiting--
-	if len(l.items) == 0 {
-		delete(k.byLot, l.id)
-		return it
-	}
-	k.lots = append(k.lots, l)
-	return it
-}
-
-func (k *kind) remove(it Item) bool {
-	l, ok := k.byLot[it.Lot]
-	if !ok {
-		return false
-	}
-	i := indexOf(l.items, it.ID)
-	if i < 0 {
-		return false
-	}
-	l.items = append(l.items[:i], l.items[i+1:]...)
-	k.waiting--
-	if len(l.items) == 0 {
-		k.dropLot(l)
-	}
-	return true
-}
-
-func (k *kind) dropLot(l *lot) {
-	delete(k.byLot, l.id)
-	for i := range k.lots {
-		if k.lots[i] == l {
-			k.lots = append(k.lots[:i], k.lots[i+1:]...)
-			return
-		}
-	}
-}
-
-func indexOf(items []Item, id uint64) int {
-	for i := range items {
-		if items[i].ID == id {
-			return i
-		}
-	}
-	return -1
-}
--- a/internal/fakes/relay.go
+++ b/internal/fakes/relay.go
@@ -15,6 +15,7 @@
 	socket  *net.UDPConn
 	packets chan relayPacket
 	silence chan chan<- int
+	block   chan bool
 }
 
 // relayPacket is a packet of a dialer, or, with back set, of the target.
@@ -51,6 +52,7 @@
 		socket:  s,
 		packets: make(chan relayPacket, relayBuffer),
 		silence: make(chan chan<- int),
+		block:   make(chan bool),
 	}
 	return r, s.LocalAddr().String(), nil
 }
@@ -66,16 +68,28 @@
 	}
 }
 
+// Block drops all packets, of new flows as well, until it is called with false.
+func (r *Relay) Block(ctx context.Context, blocked bool) {
+	select {
+	case r.block <- blocked:
+	case <-ctx.Done():
+	}
+}
+
 // Run passes packets until ctx ends, and then reports on done.
 func (r *Relay) Run(ctx context.Context, done chan<- error) {
 	ends := make(chan struct{}, relayBuffer)
 	tasks := 1
 	go r.readClients(ctx, ends)
 	flows := map[string]*relayFlow{}
+	blocked := false
 	for {
 		select {
 		case p := <-r.packets:
-			tasks += r.pass(ctx, p, flows, ends)
+			if !blocked {
+				tasks += r.pass(ctx, p, flows, ends)
+			}
+		case blocked = <-r.block:
 		case n := <-r.silence:
 			for _, f := range flows {
 				f.silent = true
--- a/internal/local/local.go
+++ b/internal/local/local.go
@@ -185,14 +185,20 @@
 	}
 }
 
-// AddEntry starts one more entry.
-func (s *Stack) AddEntry() (*EntryProc, error) {
-	self := s.host(host.RoleEntry)
+// identity names a new process and makes its keys.
+func (s *Stack) identity(role host.Role) (host.Host, *tls.Config, error) {
+	self := s.host(role)
 	pair, err := s.authority.NewPair(self.Name, self.Role, certificateValid)
 	if err != nil {
-		return nil, err
+		return self, nil, err
 	}
 	config, err := pair.TLS()
+	return self, config, err
+}
+
+// AddEntry starts one more entry.
+func (s *Stack) AddEntry() (*EntryProc, error) {
+	self, config, err := s.identity(host.RoleEntry)
 	if err != nil {
 		return nil, err
 	}
@@ -277,12 +283,7 @@
 
 // AddAgent starts one more agent with its upstream.
 func (s *Stack) AddAgent(u fakes.UpstreamSettings) (*AgentProc, error) {
-	self := s.host(host.RoleAgent)
-	pair, err := s.authority.NewPair(self.Name, self.Role, certificateValid)
-	if err != nil {
-		return nil, err
-	}
-	config, err := pair.TLS()
+	self, config, err := s.identity(host.RoleAgent)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/local/outside_test.go
+++ b/internal/local/outside_test.go
@@ -17,6 +17,7 @@
 	"github.com/stretchr/testify/require"
 	"go.uber.org/goleak"
 
+	"github.com/turmericbarrow/turmericbarrow/internal/contr"
 	"github.com/turmericbarrow/turmericbarrow/internal/fakes"
 	"github.com/turmericbarrow/turmericbarrow/internal/local"
 )
@@ -26,8 +27,9 @@
 // site is a deployment under test and a caller of it.
 type site struct {
 	*local.Stack
-	t      *testing.T
-	client *http.Client
+	t        *testing.T
+	client   *http.Client
+	contract []byte
 }
 
 func startSite(t *testing.T, change func(*local.Options)) *site {
@@ -39,7 +41,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	s, err := local.Start(ctx, o, slog.New(slog.NewJSONHandler(io.Discard, nil)))
 	require.NoError(t, err)
-	w := &site{Stack: s, t: t, client: &http.Client{Transport: &http.Transport{}}}
+	w := &site{Stack: s, t: t, contract: o.Contracts[0], client: &http.Client{Transport: &http.Transport{}}}
 	t.Cleanup(func() {
 		s.Close()
 		cancel()
@@ -260,3 +262,46 @@
 		return resp.StatusCode == 200
 	}, 20*time.Second, 50*time.Millisecond, "a late starter gets the configuration over links")
 }
+
+func TestEntryCutFromItsAgentsRefusesAndComesBack(t *testing.T) {
+	w := startSite(t, func(o *local.Options) { o.Relayed = true })
+	ctx := context.Background()
+	w.Entries[0].Relay.Block(ctx, true)
+	require.Eventually(t, func() bool {
+		a := w.post("availability", map[string]string{"Request-Timeout": "500"}, "x")
+		return a.problem.Type == "urn:turmericbarrow:problem:no_upstream" && a.problem.Ran == "no"
+	}, 20*time.Second, 50*time.Millisecond)
+	other := w.call(1, http.MethodPost, "/v1/requests/availability", nil, strings.NewReader("x"))
+	require.Equal(t, 200, other.status, "the entry that is not cut serves on")
+	w.Entries[0].Relay.Block(ctx, false)
+	require.Eventually(t, func() bool { return w.post("availability", nil, "x").status == 200 }, 20*time.Second, 50*time.Millisecond)
+}
+
+func TestEntryStartsBehindTheLogsRetention(t *testing.T) {
+	w := startSite(t, func(o *local.Options) {
+		o.Retention = 6
+		o.RetentionMS = 8000 // a snapshot each second
+	})
+	op := w.Operator(0)
+	defer op.Close()
+	for i := range 10 {
+		text := strings.Replace(string(w.contract), "queue: 600", fmt.Sprintf("queue: %d", 600+i), 1)
+		config, err := op.Config(context.Background())
+		require.NoError(t, err)
+		v, err := op.Amend(context.Background(), contr.Amendment{Base: config.Documents[0].Version, Name: config.Documents[0].Name, Text: text})
+		require.NoError(t, err)
+		require.True(t, v.Accepted, v.Reason)
+	}
+	w.Entries[0].Stop() // what it knew is gone
+	late, err := w.AddEntry()
+	require.NoError(t, err)
+	w.Entries = w.Entries[1:]
+	require.Eventually(t, func() bool {
+		c := w.Operator(1)
+		defer c.Close()
+		st, err := c.State(context.Background())
+		return err == nil && st.Grants.Based && st.Grants.Ranges > 0 && st.Self.Name == late.Name && st.ConfigVersion >= 10
+	}, 30*time.Second, 100*time.Millisecond)
+	a := w.call(1, http.MethodPost, "/v1/requests/assignment", map[string]string{"Idempotency-Key": w.ticket(1)}, strings.NewReader("x"))
+	require.Equal(t, 200, a.status, a.body)
+}
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -4,7 +4,6 @@
 package route
 
 import (
-	"math"
 	"sort"
 
 	"github.com/turmericbarrow/turmericbarrow/internal/clock"
@@ -48,33 +47,6 @@
 	Service   map[string]*Estimate `json:"service"`
 }
 
-// Estimate is a running mean.
-type Estimate struct {
-	MS    float64 `json:"ms"`
-	Count int     `json:"count"`
-	// UpdatedAt is when the last sample came.
-	UpdatedAt clock.Millis `json:"updated_at"`
-}
-
-// estimateWeight is the weight of a new sample once an estimate has settled.
-const estimateWeight = 0.1
-
-func (e *Estimate) add(ms float64, now clock.Millis) {
-	e.Count++
-	e.UpdatedAt = now
-	e.MS += (ms - e.MS) * max(estimateWeight, 1/float64(e.Count))
-}
-
-// Bounds of ejection.
-const (
-	failuresToEject  = 4
-	firstEjectionMS  = clock.Millis(1000)
-	maxEjectionMS    = clock.Millis(30000)
-	maxEjectedPart   = 0.34
-	unknownServiceMS = 100.0
-	kindFailingPart  = 0.5
-)
-
 // Fleet is all upstreams that an entry has links to.
 type Fleet struct {
 	upstreams map[string]*Upstream
@@ -112,29 +84,6 @@
 	failing float64
 }
 
-// rate is a running rate of events.
-type rate struct {
-	perMS float64
-	at    clock.Millis
-}
-
-// rateSpanMS is the span over which arrivals are averaged.
-const rateSpanMS = 1000.0
-
-func (r *rate) decayed(now clock.Millis) float64 {
-	return r.perMS * math.Exp(-float64(now-r.at)/rateSpanMS)
-}
-
-func (r *rate) add(now clock.Millis) {
-	r.perMS = r.decayed(now) + 1/rateSpanMS
-	r.at = now
-}
-
-// Arrived counts a task that came in, whether or not it can be placed at once.
-func (f *Fleet) Arrived(kind string, now clock.Millis) {
-	f.kind(kind).arrivals.add(now)
-}
-
 // New returns an empty fleet.
 func New() *Fleet {
 	return &Fleet{upstreams: map[string]*Upstream{}, kinds: map[string]*kindRecord{}}
@@ -226,48 +175,6 @@
 	}
 }
 
-// Optimism about upstreams that have not been tried for a while. Without it the
-// first upstream to answer kept all work at low load, though another was faster.
-const (
-	untriedFactor   = 0.5
-	halfOptimismMS  = 10_000.0
-	maxOptimismPart = 0.1
-)
-
-// Expect returns the expected service time of a kind at an upstream.
-func (f *Fleet) Expect(u *Upstream, kind string, now clock.Millis) float64 {
-	e := u.Service[kind]
-	if e == nil || e.Count == 0 {
-		return f.Cost(kind) * f.speed(u) * untriedFactor
-	}
-	untried := float64(now-e.UpdatedAt) / halfOptimismMS
-	return e.MS * max(math.Exp2(-untried), maxOptimismPart)
-}
-
-// speed is how much slower u is than the whole fleet on kinds that it has served.
-func (f *Fleet) speed(u *Upstream) float64 {
-	sum, n := 0.0, 0
-	for kind, e := range u.Service {
-		if whole := f.kinds[kind]; whole != nil && whole.service.MS > 0 {
-			sum += e.MS / whole.service.MS
-			n++
-		}
-	}
-	if n == 0 {
-		return 1
-	}
-	return sum / float64(n)
-}
-
-// Cost returns the expected service time of a kind over all upstreams.
-func (f *Fleet) Cost(kind string) float64 {
-	k := f.kinds[kind]
-	if k == nil || k.service.Count == 0 {
-		return unknownServiceMS
-	}
-	return max(k.service.MS, 1)
-}
-
 // Choose returns the upstream on which a task of the kind is predicted to finish
 // first while waiting tasks stand in line, or nil when it is better to wait. An
 // upstream in avoid is taken only if there is no other.
@@ -303,10 +210,26 @@
 	return best, bestFinish
 }
 
+// finish returns the predicted time until a task that is sent to u now has its answer,
+// with a wait in the agent's queue counted as in worthWaiting.
 func (f *Fleet) finish(u *Upstream, kind string, now clock.Millis) float64 {
 	service := f.Expect(u, kind, now)
-	ahead := max(0, u.InFlight+u.Others+1-u.Slots)
-	return float64(u.RoundTrip) + service + service*float64(ahead)/float64(max(1, u.Slots))
+	total := float64(u.InFlight + u.Others + 1)
+	slots := float64(max(1, u.Slots))
+	finish := float64(u.RoundTrip) + service
+	if total <= slots {
+		return finish
+	}
+	mine := slots * float64(u.InFlight+1) / total
+	wait := service * (total - slots) / slots
+	return finish + wait*f.burden(kind, service, mine, now)
+}
+
+// burden returns by how much a wait for slots counts, since it delays those who come
+// later: the more, the fuller the arrivals keep the slots.
+func (f *Fleet) burden(kind string, service, slots float64, now clock.Millis) float64 {
+	free := 1 - f.offered(kind, service, now)/slots
+	return 1 / max(free, minFreePart)
 }
 
 // worthWaiting reports whether the last of the waiting tasks does better to wait for
@@ -337,8 +260,7 @@
 		return false
 	}
 	service := float64(busy) / releases
-	free := 1 - f.offered(kind, service, now)/float64(busy)
-	wait := float64(waiting) / releases / max(free, minFreePart)
+	wait := float64(waiting) / releases * f.burden(kind, service, float64(busy), now)
 	return wait+service < finish
 }
 
@@ -355,162 +277,6 @@
 	return total * service / f.Cost(kind)
 }
 
-// takes reports whether u may get tasks of the kind at all.
-func (f *Fleet) takes(u *Upstream, kind string, now clock.Millis) bool {
-	if !u.Kinds[kind] {
-		return false
-	}
-	switch u.Health {
-	case HealthGood:
-		return true
-	case HealthEjected:
-		return now >= u.Until
-	case HealthProbing:
-		return true
-	default:
-		return false
-	}
-}
-
-// open reports whether u may get a task of the kind now.
-func (f *Fleet) open(u *Upstream, kind string, now clock.Millis) bool {
-	if !f.takes(u, kind, now) {
-		return false
-	}
-	if u.Health != HealthGood {
-		return u.InFlight == 0
-	}
-	return u.InFlight < u.Window
-}
-
-// Started counts a task that was sent to an upstream.
-func (f *Fleet) Started(id string) {
-	u := f.upstreams[id]
-	if u == nil {
-		return
-	}
-	u.InFlight++
-	if u.Health == HealthEjected {
-		u.Health = HealthProbing
-	}
-}
-
-// Outcome is how an upstream dealt with a task.
-type Outcome struct {
-	Kind string
-	// Failed is set for faults of the upstream, not for a withdrawn task.
-	Failed bool
-	// NotRun is set when the upstream did not start the task; with Failed, because
-	// it could not be reached.
-	NotRun bool
-	// ServiceMS is the time in the slot.
-	ServiceMS float64
-	Reason    string
-}
-
-// Finished counts the end of a task at an upstream and judges its health.
-func (f *Fleet) Finished(id string, o Outcome, now clock.Millis) {
-	u := f.upstreams[id]
-	if u == nil {
-		return
-	}
-	u.InFlight = max(0, u.InFlight-1)
-	if o.NotRun && !o.Failed {
-		return
-	}
-	k := f.kind(o.Kind)
-	if o.Failed {
-		f.failed(u, k, o, now)
-		k.failing += (1 - k.failing) * estimateWeight
-		return
-	}
-	k.failing -= k.failing * estimateWeight
-	f.succeeded(u, k, o, now)
-}
-
-func (f *Fleet) kind(name string) *kindRecord {
-	k := f.kinds[name]
-	if k == nil {
-		k = &kindRecord{}
-		f.kinds[name] = k
-	}
-	return k
-}
-
-// succeeded learns speed. Failures never do: an upstream that fails at once would
-// look like the fastest and draw all work.
-func (f *Fleet) succeeded(u *Upstream, k *kindRecord, o Outcome, now clock.Millis) {
-	e := u.Service[o.Kind]
-	if e == nil {
-		e = &Estimate{}
-		u.Service[o.Kind] = e
-	}
-	e.add(o.ServiceMS, now)
-	k.service.add(o.ServiceMS, now)
-	u.Failures = 0
-	if u.Health == HealthProbing {
-		u.Health = HealthGood
-		u.Reason = ""
-		u.Ejections = 0
-	}
-}
-
-func (f *Fleet) failed(u *Upstream, k *kindRecord, o Outcome, now clock.Millis) {
-	if k.failing > kindFailingPart && u.Health == HealthGood && len(f.sorted) > 1 && f.failsElsewhere(u, o.Kind) {
-		return
-	}
-	u.Failures++
-	if u.Health == HealthProbing || u.Failures >= failuresToEject {
-		f.eject(u, o.Reason, now)
-	}
-}
-
-// failsElsewhere tells a kind that fails everywhere from an upstream that fails
-// everything: then another upstream has failures in a row as well.
-func (f *Fleet) failsElsewhere(u *Upstream, kind string) bool {
-	for _, other := range f.sorted {
-		if other != u && other.Kinds[kind] && other.Failures > 0 && other.Health == HealthGood {
-			return true
-		}
-	}
-	return false
-}
-
-func (f *Fleet) eject(u *Upstream, reason string, now clock.Millis) {
-	if u.Health != HealthProbing && !f.mayEject() {
-		return
-	}
-	span := min(firstEjectionMS<<min(u.Ejections, 10), maxEjectionMS)
-	u.Ejections++
-	u.Health = HealthEjected
-	u.Reason = "failed: " + reason
-	u.Until = now + span
-	u.Failures = 0
-}
-
-// mayEject keeps the ejected part of the fleet bounded: when most upstreams fail,
-// ejecting them all would leave the rest with load that they can't take.
-func (f *Fleet) mayEject() bool {
-	out := 0
-	for _, u := range f.sorted {
-		if u.Health == HealthEjected || u.Health == HealthProbing {
-			out++
-		}
-	}
-	return float64(out+1) <= max(1, maxEjectedPart*float64(len(f.sorted))) && len(f.sorted) > 1
-}
-
-// NextProbe returns the earliest end of an ejection, or zero.
-func (f *Fleet) NextProbe() clock.Millis {
-	next := clock.Millis(0)
-	for _, u := range f.sorted {
-		if u.Health == HealthEjected && (next == 0 || u.Until < next) {
-			next = u.Until
-		}
-	}
-	return next
-}
-
 // Copy returns a copy of u that shares nothing with it.
 func (u *Upstream) Copy() Upstream {
 	c := *u
--- a/pkg/cli/contract.go
+++ b/pkg/cli/contract.go
@@ -188,13 +188,18 @@
 	return nil
 }
 
-func (a *app) get(ctx context.Context, o *operatorFlags, args []string) error {
+// configOf reads the configuration in force.
+func configOf(ctx context.Context, o *operatorFlags) (entry.Config, error) {
 	client, err := o.client()
 	if err != nil {
-		return err
+		return entry.Config{}, err
 	}
 	defer client.Close()
-	config, err := client.Config(ctx)
+	return client.Config(ctx)
+}
+
+func (a *app) get(ctx context.Context, o *operatorFlags, args []string) error {
+	config, err := configOf(ctx, o)
 	if err != nil {
 		return err
 	}
@@ -214,12 +219,7 @@
 }
 
 func (a *app) history(ctx context.Context, o *operatorFlags) error {
-	client, err := o.client()
-	if err != nil {
-		return err
-	}
-	defer client.Close()
-	config, err := client.Config(ctx)
+	config, err := configOf(ctx, o)
 	if err != nil {
 		return err
 	}
--- a/pkg/cli/processes.go
+++ b/pkg/cli/processes.go
@@ -77,6 +77,7 @@
 
 func (f *entryFlags) check() error {
 	checks := []error{
+		f.hostFlags.check(),
 		checkAddress("listen", f.listen),
 		checkAddress("operators", f.operators),
 		checkAddress("links", f.links),
@@ -111,27 +112,15 @@
 }
 
 func (f *entryFlags) settings() (entry.Settings, error) {
-	self, err := f.host(host.RoleEntry)
-	if err != nil {
-		return entry.Settings{}, err
-	}
 	if err := f.check(); err != nil {
 		return entry.Settings{}, err
 	}
-	pair, err := f.pair()
-	if err != nil {
-		return entry.Settings{}, err
-	}
-	t, err := pair.TLS()
-	if err != nil {
-		return entry.Settings{}, err
-	}
-	expiry, err := pair.Expiry()
+	id, err := f.identity(host.RoleEntry)
 	if err != nil {
 		return entry.Settings{}, err
 	}
 	return entry.Settings{
-		Self:          self,
+		Self:          id.self,
 		Listen:        f.listen,
 		Operators:     f.operators,
 		OperatorToken: f.operatorToken,
@@ -139,15 +128,15 @@
 
 		AdvertisedLinks: f.advertise,
 		Seeds:           f.seeds,
-		TLS:             t,
-		Expiry:          expiry,
+		TLS:             id.tls,
+		Expiry:          id.expiry,
 		Heartbeat:       millis(f.heartbeat),
 		Silence:         millis(f.silence),
 		RetentionMS:     millis(f.logRetention),
 		LingerMS:        millis(f.linger),
 		MaxBodyBytes:    f.maxBody,
 		Dispatch: disp.Settings{
-			Self:          self,
+			Self:          id.self,
 			Keys:          f.keyLimits(),
 			HorizonMS:     entry.BaseHorizonMS,
 			MaxJobTasks:   f.maxJobTasks,
@@ -199,6 +188,7 @@
 	hostFlags
 	listen     string
 	entries    []string
+	scope      string
 	keyWindow  time.Duration
 	maxTasks   int
 	maxAnswers int
@@ -220,6 +210,7 @@
 	f.hostFlags.add(c.Flags())
 	c.Flags().StringVar(&f.listen, "listen", "127.0.0.1:7500", "address for the upstream and operators, over HTTP")
 	c.Flags().StringSliceVar(&f.entries, "entries", nil, "link addresses of entries to start from")
+	c.Flags().StringVar(&f.scope, "link-scope", string(agent.ScopeRegion), "entries to link to: region or zone")
 	c.Flags().DurationVar(&f.keyWindow, "key-window", 10*time.Minute, "how long tasks and answers are remembered")
 	c.Flags().IntVar(&f.maxTasks, "max-tasks", 20_000, "most tasks remembered")
 	c.Flags().IntVar(&f.maxAnswers, "max-answer-mb", 16, "most megabytes of answers remembered")
@@ -227,8 +218,7 @@
 }
 
 func (f *agentFlags) settings() (agent.Settings, error) {
-	self, err := f.host(host.RoleAgent)
-	if err != nil {
+	if err := f.hostFlags.check(); err != nil {
 		return agent.Settings{}, err
 	}
 	if err := checkAddress("listen", f.listen); err != nil {
@@ -240,6 +230,8 @@
 	switch {
 	case len(f.entries) == 0:
 		return agent.Settings{}, badFlag("entries", "[]", "at least one address")
+	case f.scope != string(agent.ScopeRegion) && f.scope != string(agent.ScopeZone):
+		return agent.Settings{}, badFlag("link-scope", f.scope, "region or zone")
 	case f.keyWindow < time.Second:
 		return agent.Settings{}, badFlag("key-window", f.keyWindow, "1s or more")
 	case f.maxTasks < 1:
@@ -247,19 +239,17 @@
 	case f.maxAnswers < 1:
 		return agent.Settings{}, badFlag("max-answer-mb", f.maxAnswers, "1 or more")
 	}
-	pair, err := f.pair()
-	if err != nil {
-		return agent.Settings{}, err
-	}
-	t, err := pair.TLS()
+	id, err := f.identity(host.RoleAgent)
 	if err != nil {
 		return agent.Settings{}, err
 	}
 	return agent.Settings{
-		Self:      self,
+		Self:      id.self,
 		Listen:    f.listen,
 		Entries:   f.entries,
-		TLS:       t,
+		Scope:     agent.Scope(f.scope),
+		Expiry:    id.expiry,
+		TLS:       id.tls,
 		Heartbeat: millis(f.heartbeat),
 		Silence:   millis(f.silence),
 		Slot: slot.Settings{Keep: slot.KeepLimits{
--- a/pkg/cli/settings.go
+++ b/pkg/cli/settings.go
@@ -1,6 +1,7 @@
 package cli
 
 import (
+	"crypto/tls"
 	"net"
 	"net/url"
 	"os"
@@ -41,25 +42,45 @@
 	f.DurationVar(&h.silence, "silence", 1800*time.Millisecond, "how long a link may be silent before it is replaced")
 }
 
-// host checks the settings and returns the host that they describe.
-func (h *hostFlags) host(role host.Role) (host.Host, error) {
+func (h *hostFlags) check() error {
 	for name, v := range map[string]string{"name": h.name, "region": h.region, "zone": h.zone} {
 		if v == "" {
-			return host.Host{}, badFlag(name, `""`, "a value")
+			return badFlag(name, `""`, "a value")
 		}
 	}
 	if h.heartbeat < 50*time.Millisecond || h.heartbeat > 10*time.Second {
-		return host.Host{}, badFlag("heartbeat", h.heartbeat, "50ms to 10s")
+		return badFlag("heartbeat", h.heartbeat, "50ms to 10s")
 	}
 	if h.silence <= 2*h.heartbeat {
-		return host.Host{}, badFlag("silence", h.silence, "more than twice --heartbeat")
+		return badFlag("silence", h.silence, "more than twice --heartbeat")
 	}
-	return host.Host{
+	return nil
+}
+
+// identity is who a process is, and how it proves that.
+type identity struct {
+	self   host.Host
+	tls    *tls.Config
+	expiry time.Time
+}
+
+// identity reads the host's keys and gives the process a new incarnation.
+func (h *hostFlags) identity(role host.Role) (identity, error) {
+	id := identity{self: host.Host{
 		Name:        h.name,
 		Incarnation: host.NewIncarnation(),
 		Role:        role,
 		Place:       zone.Place{Region: h.region, Zone: h.zone, Rack: h.rack},
-	}, nil
+	}}
+	pair, err := h.pair()
+	if err != nil {
+		return id, err
+	}
+	if id.tls, err = pair.TLS(); err != nil {
+		return id, err
+	}
+	id.expiry, err = pair.Expiry()
+	return id, err
 }
 
 // pair reads the host's keys.
