Start nothing that can't end in time, and judge no upstream by haste

Cause: a flood of 500 callers of assignments against the real binary, with 3 s to answer, ended 924 of 2,150 as maybe. Tasks were started with less time left than they take, each entry counted all slots as its own, and the deadlines that passed in the upstream ejected the slowest one.

Heartbeats carry the upstream only when it changed, and links send no path probes. A retirement taken back takes effect at once. explain asks several entries.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -75,7 +75,9 @@
 	results  chan result
 	stop     chan struct{}
 
-	links    map[string]*link.Link
+	links map[string]*link.Link
+	// told holds what each entry was last told of the upstream.
+	told     map[string]string
 	calls    map[uint64]context.CancelFunc
 	calling  int
 	caller   *caller
@@ -97,6 +99,7 @@
 		results:  make(chan result, inboxSize),
 		stop:     make(chan struct{}, 1),
 		links:    map[string]*link.Link{},
+		told:     map[string]string{},
 		calls:    map[uint64]context.CancelFunc{},
 		listed:   map[string]clock.Millis{},
 	}
@@ -265,6 +268,7 @@
 			return
 		}
 		delete(a.links, inc)
+		delete(a.told, inc)
 		a.core.EntryGone(inc)
 		a.log.Info("link down", "peer", e.Link.Peer.Name, "error", errors.Details(e.Err))
 	}
--- a/internal/agent/call.go
+++ b/internal/agent/call.go
@@ -78,7 +78,7 @@
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
 	switch {
 	case err != nil && ctx.Err() != nil:
-		return slot.Outcome{Status: slot.StatusMaybe, Detail: "the answer was not whole when the call was broken off"}
+		return brokenOff(ctx, "the answer was not whole when the call was broken off")
 	case err != nil:
 		return slot.Outcome{Status: slot.StatusFailed, Detail: "the upstream cut its answer short: " + err.Error()}
 	case len(body) > maxAnswerBytes:
@@ -96,7 +96,14 @@
 		return slot.Outcome{Status: slot.StatusNotRun, Detail: "the upstream can't be reached: " + op.Error(), Fault: true}
 	}
 	if ctx.Err() != nil {
-		return slot.Outcome{Status: slot.StatusMaybe, Detail: "the call was broken off before its answer"}
+		return brokenOff(ctx, "the call was broken off before its answer")
 	}
 	return slot.Outcome{Status: slot.StatusMaybe, Detail: "the connection to the upstream broke: " + err.Error()}
 }
+
+// brokenOff is the end of a call that the agent broke off, at its deadline or because
+// it was withdrawn.
+func brokenOff(ctx context.Context, detail string) slot.Outcome {
+	late := errors.Is(ctx.Err(), context.DeadlineExceeded)
+	return slot.Outcome{Status: slot.StatusMaybe, Detail: detail, TimedOut: late}
+}
--- a/internal/agent/frames.go
+++ b/internal/agent/frames.go
@@ -38,6 +38,7 @@
 		Body:        a.Outcome.Result.Body,
 		Detail:      a.Outcome.Detail,
 		Fault:       a.Outcome.Fault,
+		TimedOut:    a.Outcome.TimedOut,
 		ServiceMs:   int64(a.ServiceMS),
 		QueuedMs:    int64(a.QueuedMS),
 		Load:        loadOf(a.Load),
@@ -66,19 +67,31 @@
 	return &wire.Frame{Body: &wire.Frame_Found{Found: m}}
 }
 
+// heartbeat tells an entry its window and, where it changed since the last one, the
+// upstream: what stays the same is not sent again.
 func (a *Agent) heartbeat(entry string) *wire.Frame {
 	h := &wire.Heartbeat{
 		ConfigVersion: a.book.Version,
 		Load:          loadOf(a.core.LoadFor(entry)),
 		Draining:      a.draining,
 	}
-	if u := a.core.Upstream; u != nil {
-		h.Upstream = &wire.Upstream{
-			Name:    u.Name,
-			Slots:   int32(u.Slots),
-			Kinds:   u.Kinds,
-			Leaving: a.core.Leaving,
-		}
+	if u := a.upstream(); u.String() != a.told[entry] {
+		a.told[entry] = u.String()
+		h.Upstream = u
 	}
 	return &wire.Frame{Body: &wire.Frame_Heartbeat{Heartbeat: h}}
 }
+
+// upstream describes the upstream, or is nil before one announced itself.
+func (a *Agent) upstream() *wire.Upstream {
+	u := a.core.Upstream
+	if u == nil {
+		return nil
+	}
+	return &wire.Upstream{
+		Name:    u.Name,
+		Slots:   int32(u.Slots),
+		Kinds:   u.Kinds,
+		Leaving: a.core.Leaving,
+	}
+}
--- a/internal/bench/capacity.go
+++ b/internal/bench/capacity.go
@@ -163,7 +163,6 @@
 func beat(ctx context.Context, node *link.Node, ups chan<- struct{}, ended <-chan error) error {
 	frame := &wire.Frame{Body: &wire.Frame_Heartbeat{Heartbeat: &wire.Heartbeat{
 		ConfigVersion: 2900,
-		Upstream:      &wire.Upstream{Name: "minion-1000", Slots: slots, Kinds: []string{"availability", "assignment", "relay"}},
 		Load:          &wire.Load{Running: slots, Queued: 2, Window: slots},
 	}}}
 	t := time.NewTicker(linkHeartbeat.Duration())
--- a/internal/disp/agents.go
+++ b/internal/disp/agents.go
@@ -53,7 +53,9 @@
 	// Detail says why the outcome is not OutcomeOK.
 	Detail string
 	// Fault is set with OutcomeNotRun when the upstream could not be reached.
-	Fault     bool
+	Fault bool
+	// TimedOut is set with OutcomeMaybe when the call was broken off at its deadline.
+	TimedOut  bool
 	ServiceMS clock.Millis
 	Load      Load
 	Others    Use
@@ -89,26 +91,36 @@
 		u.Kinds[k] = true
 	}
 	d.Fleet.SetLoad(u.ID, s.Load.Window, s.Load.Tasks)
-	d.setLeaving(u, s.Leaving, s.Agent.Name)
+	d.agents[u.ID] = s
+	d.setLeaving(u, s)
 	d.Order.SetSlots(d.Fleet.Slots())
 	d.dispatch(now)
 }
 
-func (d *Dispatcher) setLeaving(u *route.Upstream, leaving bool, hostName string) {
+// SetAgentLoad takes what an agent tells regularly.
+func (d *Dispatcher) SetAgentLoad(agent string, l Load, now clock.Millis) {
+	d.Fleet.SetLoad(agent, l.Window, l.Tasks)
+	d.dispatch(now)
+}
+
+// setLeaving stops work for an upstream that is retired or leaves, and lets it back
+// in when neither holds any more.
+func (d *Dispatcher) setLeaving(u *route.Upstream, s AgentState) {
 	if d.Book.Retired(contr.PrefixUpstream, u.Name) {
 		d.Fleet.SetLeaving(u.ID, true, "retired by an operator")
 		return
 	}
-	if d.Book.Retired(contr.PrefixHost, hostName) {
+	if d.Book.Retired(contr.PrefixHost, s.Agent.Name) {
 		d.Fleet.SetLeaving(u.ID, true, "its host is retired by an operator")
 		return
 	}
-	d.Fleet.SetLeaving(u.ID, leaving, "the upstream is leaving")
+	d.Fleet.SetLeaving(u.ID, s.Leaving, "the upstream is leaving")
 }
 
 // AgentGone takes an upstream out. What it had may have run.
 func (d *Dispatcher) AgentGone(agent, why string, now clock.Millis) {
 	d.Fleet.Remove(agent)
+	delete(d.agents, agent)
 	d.Order.SetSlots(d.Fleet.Slots())
 	for key, use := range d.uses {
 		if key.agent == agent {
@@ -175,7 +187,8 @@
 	d.Fleet.Finished(a.agent, route.Outcome{
 		Kind:      a.item.Flow.Kind,
 		Failed:    o.Type == OutcomeFailed || o.Type == OutcomeMaybe || o.Fault,
-		NotRun:    o.Type == OutcomeNotRun || (a.cancelled && o.Type != OutcomeOK),
+		NotRun:    o.Type == OutcomeNotRun,
+		Unjudged:  o.Type != OutcomeOK && (a.cancelled || d.shortOfTime(a, o, now)),
 		ServiceMS: float64(max(1, o.ServiceMS)),
 		Reason:    o.Detail,
 	}, now)
@@ -191,6 +204,16 @@
 	d.advance(w, a, o, now)
 }
 
+// patience times the expected service is the time after which a call that is broken
+// off at its deadline counts against the upstream. Without it, a flood with short
+// deadlines ejected the slowest upstream for the callers' haste.
+const patience = 3
+
+func (d *Dispatcher) shortOfTime(a *attempt, o Outcome, now clock.Millis) bool {
+	u := d.Fleet.Get(a.agent)
+	return o.TimedOut && u != nil && float64(o.ServiceMS) < patience*d.Fleet.Expect(u, a.item.Flow.Kind, now)
+}
+
 func (t *taskState) dropAsk(ask Ask) {
 	for i := range t.asks {
 		if t.asks[i] == ask {
@@ -276,8 +299,3 @@
 	}
 	d.end(w, a, now)
 }
-
-// SetAgentLeaving stops new work for an upstream.
-func (d *Dispatcher) SetAgentLeaving(agent, reason string) {
-	d.Fleet.SetLeaving(agent, true, reason)
-}
--- a/internal/disp/disp.go
+++ b/internal/disp/disp.go
@@ -144,6 +144,8 @@
 	parked   []Submission
 	kept     map[string]*keptAnswers
 	uses     map[useKey]Use
+	// agents holds what each linked agent last told of its upstream.
+	agents map[string]AgentState
 }
 
 // New returns a dispatcher.
@@ -161,6 +163,7 @@
 		finds:    map[Ask]*find{},
 		kept:     map[string]*keptAnswers{},
 		uses:     map[useKey]Use{},
+		agents:   map[string]AgentState{},
 	}
 }
 
--- a/internal/disp/disp_test.go
+++ b/internal/disp/disp_test.go
@@ -256,6 +256,46 @@
 	require.True(t, k.answers[again].Complete())
 }
 
+func TestTaskThatCannotEndInTimeIsNotStarted(t *testing.T) {
+	k := newDesk(t, "e1").withAgent(agentHost, 1)
+	k.submit(k.submission("assign", k.Ticket(k.now), 1))
+	k.done(k.starts[0], disp.Outcome{Type: disp.OutcomeOK, ServiceMS: 600})
+	k.submit(k.submission("assign", k.Ticket(k.now), 1))
+	key := k.Ticket(k.now)
+	waits := k.submit(k.submission("assign", key, 1))
+	require.NotContains(t, k.answers, waits)
+	k.now += 600
+	k.done(k.starts[1], disp.Outcome{Type: disp.OutcomeOK, ServiceMS: 600})
+	require.Len(t, k.starts, 2, "400 ms are left for a task of 600 ms")
+	require.Equal(t, reply.RanNo, k.problem(waits).Ran)
+	again := k.submit(k.submission("assign", key, 1))
+	k.done(k.starts[2], okOutcome(k.starts[2]))
+	require.True(t, k.answers[again].Complete())
+}
+
+func TestHastyCallersDoNotEjectAnUpstream(t *testing.T) {
+	second := host.Host{Name: "minion-2", Incarnation: "agent2", Role: host.RoleAgent}
+	for served, want := range map[clock.Millis]route.Health{100: route.HealthGood, 900: route.HealthEjected} {
+		k := newDesk(t, "e1").withAgent(agentHost, 8).withAgent(second, 8)
+		for i := range 10 {
+			k.submit(k.submission("assign", k.Ticket(k.now), 1))
+			s := k.starts[len(k.starts)-1]
+			o := okOutcome(s)
+			o.ServiceMS = 100
+			if i > 3 && s.Agent == "agent1" {
+				o = disp.Outcome{Type: disp.OutcomeMaybe, TimedOut: true, ServiceMS: served}
+			}
+			k.done(s, o)
+		}
+		for range 5 {
+			k.Fleet.SetLeaving("agent2", true, "test")
+			k.submit(k.submission("assign", k.Ticket(k.now), 1))
+			k.done(k.starts[len(k.starts)-1], disp.Outcome{Type: disp.OutcomeMaybe, TimedOut: true, ServiceMS: served})
+		}
+		require.Equal(t, want, k.Fleet.Get("agent1").Health, "broken off after %d ms", served)
+	}
+}
+
 func TestLateAnswerIsKeptForTheResubmission(t *testing.T) {
 	k := newDesk(t, "e1").withAgent(agentHost, 1)
 	key := k.Ticket(k.now)
@@ -358,6 +398,20 @@
 	require.Empty(t, b.starts)
 }
 
+func TestRetiredUpstreamStopsAndComesBack(t *testing.T) {
+	for _, name := range []string{"upstream/minion-1", "host/minion-1"} {
+		k := newDesk(t, "e1").withAgent(agentHost, 8)
+		require.True(t, k.Book.Amend(10, contr.Amendment{Base: contr.NoVersion, Name: name, Text: "moved"}).Accepted)
+		k.ConfigChanged([]contr.Document{k.Book.Documents[name]}, k.now)
+		refused := k.submit(k.submission("check", "", 1))
+		require.Equal(t, reply.TypeNoUpstream, k.problem(refused).Type)
+		require.True(t, k.Book.Amend(11, contr.Amendment{Base: 10, Name: name, Deleted: true}).Accepted)
+		k.ConfigChanged([]contr.Document{k.Book.Documents[name]}, k.now)
+		k.submit(k.submission("check", "", 1))
+		require.Len(t, k.starts, 1)
+	}
+}
+
 // anyOrder drives a dispatcher through events in any order.
 type anyOrder struct {
 	*desk
--- a/internal/disp/follow.go
+++ b/internal/disp/follow.go
@@ -63,10 +63,8 @@
 			d.contractChanged(customer, now)
 		}
 	}
-	for _, u := range d.Fleet.All() {
-		if d.Book.Retired(contr.PrefixUpstream, u.Name) {
-			d.Fleet.SetLeaving(u.ID, true, "retired by an operator")
-		}
+	for id, state := range d.agents {
+		d.setLeaving(d.Fleet.Get(id), state)
 	}
 	d.dispatch(now)
 }
--- a/internal/disp/submit.go
+++ b/internal/disp/submit.go
@@ -115,7 +115,7 @@
 // tooLate refuses at once what would miss its deadline in line.
 func (d *Dispatcher) tooLate(s Submission, c *contr.Contract, now clock.Millis) *reply.Problem {
 	wait := d.expectedWait(s)
-	if now+wait <= s.Deadline {
+	if now+wait+d.expectedService(s.Kind) <= s.Deadline {
 		return nil
 	}
 	line := "share"
@@ -133,10 +133,19 @@
 	if ahead == 0 {
 		return 0
 	}
-	slots := float64(d.Fleet.Slots()) * d.Order.ExpectedShare(f)
+	slots := float64(d.Fleet.Share()) * d.Order.ExpectedShare(f)
 	return clock.Millis(float64(ahead) * d.Fleet.Cost(s.Kind) / max(slots, 0.01))
 }
 
+// expectedService returns the expected service time of a kind, or zero before any of
+// it has run.
+func (d *Dispatcher) expectedService(kind string) clock.Millis {
+	if !d.Fleet.Known(kind) {
+		return 0
+	}
+	return clock.Millis(d.Fleet.Cost(kind))
+}
+
 func (d *Dispatcher) overRate(s Submission, c *contr.Contract, now clock.Millis) *reply.Problem {
 	ok, wait := d.Limits.Take(s.Customer, len(s.Tasks), now)
 	if ok {
--- a/internal/disp/work.go
+++ b/internal/disp/work.go
@@ -164,10 +164,33 @@
 		if avoid := ref.work.tasks[ref.task].avoid; avoid[u.ID] {
 			u = d.elsewhere(pick.Item, u, avoid, now)
 		}
+		if d.tooLateToStart(ref.work, u, now) {
+			d.Order.Returned(pick.Item)
+			ref.work.tasks[ref.task].item = nil
+			d.expired(ref.work, now)
+			continue
+		}
 		d.start(ref, pick, u, now)
 	}
 }
 
+// tooLateToStart reports whether a task is not expected to end by its deadline.
+// Starting it would take a slot for an answer that nobody waits for, and turn a
+// clear "not run" into a "maybe": in a flood of assignments 924 of 2,150 ended so.
+func (d *Dispatcher) tooLateToStart(w *work, u *route.Upstream, now clock.Millis) bool {
+	if !d.Fleet.Known(w.sub.Kind) {
+		return false
+	}
+	return now+clock.Millis(d.Fleet.Expect(u, w.sub.Kind, now)) > w.sub.Deadline
+}
+
+// expired ends a work of which a task can no longer be started in time.
+func (d *Dispatcher) expired(w *work, now clock.Millis) {
+	p := d.deadlineProblem(w)
+	p.Detail = "the deadline can no longer be met"
+	d.end(w, reply.Answer{Request: w.sub.Request, Problem: &p}, now)
+}
+
 // openKinds returns the waiting kinds that can be placed now, and where.
 func (d *Dispatcher) openKinds(now clock.Millis) map[string]*route.Upstream {
 	open := make(map[string]*route.Upstream, len(d.waiting))
@@ -272,20 +295,24 @@
 // deadline ends a work whose time is over.
 func (d *Dispatcher) deadline(w *work, now clock.Millis) {
 	w.timer = nil
-	ran := w.ran()
-	p := reply.Problem{Type: reply.TypeDeadline, Ran: ran, Version: w.version,
-		Detail: "the deadline passed"}
-	if ran == reply.RanNo {
-		p.RetryAfter = d.expectedWait(w.sub)
-		p.Line = "share"
-	}
-	if w.keyed && !w.sub.Job && ran == reply.RanMaybe {
+	p := d.deadlineProblem(w)
+	if w.keyed && !w.sub.Job && p.Ran == reply.RanMaybe {
 		d.answerLate(w, p, now)
 		return
 	}
 	d.end(w, reply.Answer{Request: w.sub.Request, Problem: &p}, now)
 }
 
+func (d *Dispatcher) deadlineProblem(w *work) reply.Problem {
+	p := reply.Problem{Type: reply.TypeDeadline, Ran: w.ran(), Version: w.version,
+		Detail: "the deadline passed"}
+	if p.Ran == reply.RanNo {
+		p.RetryAfter = max(1, d.expectedWait(w.sub))
+		p.Line = "share"
+	}
+	return p
+}
+
 // answerLate answers the callers of a keyed request and keeps waiting for its
 // attempt, so that a resubmission gets the true end.
 func (d *Dispatcher) answerLate(w *work, p reply.Problem, now clock.Millis) {
--- a/internal/entry/frames.go
+++ b/internal/entry/frames.go
@@ -176,6 +176,7 @@
 		Result:    reply.Result{ContentType: m.GetContentType(), Body: m.GetBody()},
 		Detail:    m.GetDetail(),
 		Fault:     m.GetFault(),
+		TimedOut:  m.GetTimedOut(),
 		ServiceMS: clock.Millis(m.GetServiceMs()),
 		Load:      loadOf(m.GetLoad()),
 		Others: disp.Use{
--- a/internal/entry/links.go
+++ b/internal/entry/links.go
@@ -159,8 +159,10 @@
 		e.disp.Found(inc, disp.Ask(b.Found.GetAsk()), foundOf(b.Found))
 	case *wire.Frame_Heartbeat:
 		a.configVersion = b.Heartbeat.GetConfigVersion()
-		if u := b.Heartbeat.GetUpstream(); u != nil {
+		if b.Heartbeat.GetUpstream() != nil {
 			e.disp.SetAgent(agentStateOf(a.link.Peer, b.Heartbeat), now)
+		} else {
+			e.disp.SetAgentLoad(inc, loadOf(b.Heartbeat.GetLoad()), now)
 		}
 		e.sendConfig(a.link, a.configVersion)
 	}
@@ -221,10 +223,7 @@
 	e.disp.ConfigChanged(changed, now)
 	e.callers.setReady(e.phase == phaseServing)
 	e.log.Info("configuration in force", "version", e.book.Version, "changed", len(changed))
-	for inc, a := range e.agents {
-		if e.book.Retired(contr.PrefixHost, a.link.Peer.Name) {
-			e.disp.SetAgentLeaving(inc, "its host is retired by an operator")
-		}
+	for _, a := range e.agents {
 		e.sendConfig(a.link, a.configVersion)
 		a.configVersion = max(a.configVersion, e.book.Version)
 	}
--- a/internal/link/node.go
+++ b/internal/link/node.go
@@ -35,6 +35,8 @@
 	dialTimeout     = 2 * time.Second
 	maxRedialMS     = clock.Millis(1000)
 	closeOnShutdown = "shutting down"
+	// packetBytes fits a path of 1,500 bytes with all headers.
+	packetBytes = 1350
 )
 
 // command asks the node's task to start or stop dialing an address.
@@ -187,6 +189,9 @@
 		MaxConnectionReceiveWindow:     maxStreamWindow,
 		MaxIncomingStreams:             1,
 		MaxIncomingUniStreams:          -1,
+		InitialPacketSize:              packetBytes,
+		// Probes for a larger packet cost more than the heartbeats of an idle link.
+		DisablePathMTUDiscovery: true,
 	}
 }
 
--- a/internal/route/health.go
+++ b/internal/route/health.go
@@ -59,6 +59,9 @@
 	// NotRun is set when the upstream did not start the task; with Failed, because
 	// it could not be reached.
 	NotRun bool
+	// Unjudged ends tell nothing of the upstream: the task was withdrawn, or had too
+	// little time.
+	Unjudged bool
 	// ServiceMS is the time in the slot.
 	ServiceMS float64
 	Reason    string
@@ -71,7 +74,7 @@
 		return
 	}
 	u.InFlight = max(0, u.InFlight-1)
-	if o.NotRun && !o.Failed {
+	if o.Unjudged || (o.NotRun && !o.Failed) {
 		return
 	}
 	k := f.kind(o.Kind)
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -135,6 +135,18 @@
 	return n
 }
 
+// Share returns the slots that this entry can count on at present: a window is what
+// an agent leaves it beside the other entries.
+func (f *Fleet) Share() int {
+	n := 0
+	for _, u := range f.sorted {
+		if u.Health != HealthLeaving {
+			n += min(u.Window, u.Slots)
+		}
+	}
+	return n
+}
+
 // Serves reports whether any upstream that is not leaving serves the kind.
 func (f *Fleet) Serves(kind string) bool {
 	for _, u := range f.sorted {
--- a/internal/route/speed.go
+++ b/internal/route/speed.go
@@ -59,13 +59,18 @@
 	return sum / float64(n)
 }
 
+// Known reports whether a task of the kind has ended well here.
+func (f *Fleet) Known(kind string) bool {
+	k := f.kinds[kind]
+	return k != nil && k.service.Count > 0
+}
+
 // Cost returns the expected service time of a kind over all upstreams.
 func (f *Fleet) Cost(kind string) float64 {
-	k := f.kinds[kind]
-	if k == nil || k.service.Count == 0 {
+	if !f.Known(kind) {
 		return unknownServiceMS
 	}
-	return max(k.service.MS, 1)
+	return max(f.kinds[kind].service.MS, 1)
 }
 
 // rate is a running rate of events.
--- a/internal/slot/slot.go
+++ b/internal/slot/slot.go
@@ -72,6 +72,8 @@
 	Detail string
 	// Fault is set with StatusNotRun when the upstream could not be reached.
 	Fault bool
+	// TimedOut is set with StatusMaybe when the call was broken off at its deadline.
+	TimedOut bool
 }
 
 // Action is an output of the core.
--- a/pkg/cli/look.go
+++ b/pkg/cli/look.go
@@ -181,7 +181,7 @@
 	var since time.Duration
 	c := &cobra.Command{
 		Use: "explain [REQUEST-ID]", Short: "Tell why a request waited, was refused or failed, and who went ahead",
-		Example: "  turmericbarrow explain 0199a3c2-...\n  turmericbarrow explain --customer lusofala-events --since 10s",
+		Example: "  turmericbarrow explain 0199a3c2-... --operators-url http://10.0.0.1:7200,http://10.0.0.2:7200\n  turmericbarrow explain --customer lusofala-events --since 10s",
 		Args:    cobra.MaximumNArgs(1),
 		RunE: func(c *cobra.Command, args []string) error {
 			return a.explain(c.Context(), o, args, customer, since, format)
@@ -201,17 +201,7 @@
 	if (len(args) == 1) == (customer != "") {
 		return badFlag("customer", customer, "either a request id or --customer")
 	}
-	client, err := o.client()
-	if err != nil {
-		return err
-	}
-	defer client.Close()
-	var xs []audit.Explanation
-	if customer != "" {
-		xs, err = client.ExplainCustomer(ctx, customer, millis(since))
-	} else {
-		xs, err = client.Explain(ctx, args[0])
-	}
+	xs, err := explanations(ctx, o, args, customer, since)
 	if err != nil {
 		return err
 	}
@@ -224,6 +214,36 @@
 	return nil
 }
 
+// explanations asks each of the entries, since the one that decided is the one that
+// holds the key.
+func explanations(ctx context.Context, o *operatorFlags, args []string, customer string, since time.Duration) ([]audit.Explanation, error) {
+	var all []audit.Explanation
+	var failed error
+	for _, url := range strings.Split(o.url, ",") {
+		one := *o
+		one.url = url
+		client, err := one.client()
+		if err != nil {
+			return nil, err
+		}
+		var xs []audit.Explanation
+		if customer != "" {
+			xs, err = client.ExplainCustomer(ctx, customer, millis(since))
+		} else {
+			xs, err = client.Explain(ctx, args[0])
+		}
+		client.Close()
+		if err != nil {
+			failed = err
+		}
+		all = append(all, xs...)
+	}
+	if len(all) > 0 {
+		failed = nil
+	}
+	return all, failed
+}
+
 func (a *app) printExplanation(x audit.Explanation) {
 	r := x.Record
 	fmt.Fprintf(a.out, "request %s of %s, kind %s\n", r.Request, r.Customer, r.Kind)
