--- a/internal/bench/flood.go
+++ b/internal/bench/flood.go
@@ -57,14 +57,7 @@
 		stream := source{token: tokenOf(customerEvents), kind: string(kind), timeout: 5000, flood: true,
 			keyed: kind == floodLow, perSecond: floodFactor * capacityOf(string(kind))}
 		during := g.run(ctx, span, append(others, stream))
-		r.keep = part(during, isNotFlood, sample.inDeadline) / part(without, isNotFlood, sample.inDeadline)
-		h := newHistogram()
-		for _, s := range during {
-			if isNotFlood(s) {
-				h.add(float64(s.took.Milliseconds()))
-			}
-		}
-		r.p99 = h.at(99)
+		r = othersIn(without, during)
 		r.flooded = float64(count(during, func(s sample) bool { return isFlood(s) && s.inDeadline() })) / span.Seconds()
 		o.progress(fmt.Sprintf("  baseline %t: %s", baseline, outcomes(during)))
 		return nil
@@ -72,6 +65,19 @@
 	return r, err
 }
 
+// othersIn returns what the other work keeps in a flood, and its slowest answers.
+func othersIn(without, during []sample) floodResult {
+	r := floodResult{keep: part(during, isNotFlood, sample.inDeadline) / part(without, isNotFlood, sample.inDeadline)}
+	h := newHistogram()
+	for _, s := range during {
+		if isNotFlood(s) {
+			h.add(float64(s.took.Milliseconds()))
+		}
+	}
+	r.p99 = h.at(99)
+	return r
+}
+
 // otherSources are the flooding customer's other kind and two other customers.
 func otherSources(kind floodKind) []source {
 	other := "check"
@@ -113,14 +119,7 @@
 		g.run(ctx, warmUp, []source{quiet})
 		without := g.run(ctx, span, []source{quiet})
 		during := g.run(ctx, span, []source{quiet, stream})
-		r.keep = part(during, isNotFlood, sample.inDeadline) / part(without, isNotFlood, sample.inDeadline)
-		h := newHistogram()
-		for _, s := range during {
-			if isNotFlood(s) {
-				h.add(float64(s.took.Milliseconds()))
-			}
-		}
-		r.p99 = h.at(99)
+		r = othersIn(without, during)
 		o.progress(fmt.Sprintf("  baseline %t: %s", baseline, outcomes(during)))
 		return nil
 	})
--- a/internal/disp/agents.go
+++ b/internal/disp/agents.go
@@ -188,7 +188,7 @@
 		Kind:      a.item.Flow.Kind,
 		Failed:    o.Type == OutcomeFailed || o.Type == OutcomeMaybe || o.Fault,
 		NotRun:    o.Type == OutcomeNotRun,
-		Unjudged:  o.Type != OutcomeOK && (a.cancelled || d.shortOfTime(a, o, now)),
+		Unjudged:  o.Type != OutcomeOK && (a.cancelled || d.timedOutEarly(a, o, now)),
 		ServiceMS: float64(max(1, o.ServiceMS)),
 		Reason:    o.Detail,
 	}, now)
@@ -204,14 +204,14 @@
 	d.advance(w, a, o, now)
 }
 
-// patience times the expected service is the time after which a call that is broken
+// minTimeoutFactor times the expected service is the time after which a call that is broken
 // off at its deadline counts against the upstream. Without it, a flood with short
-// deadlines ejected the slowest upstream for the callers' haste.
-const patience = 3
+// deadlines ejected the slowest upstream for them.
+const minTimeoutFactor = 3
 
-func (d *Dispatcher) shortOfTime(a *attempt, o Outcome, now clock.Millis) bool {
+func (d *Dispatcher) timedOutEarly(a *attempt, o Outcome, now clock.Millis) bool {
 	u := d.Fleet.Get(a.agent)
-	return o.TimedOut && u != nil && float64(o.ServiceMS) < patience*d.Fleet.Expect(u, a.item.Flow.Kind, now)
+	return o.TimedOut && u != nil && float64(o.ServiceMS) < minTimeoutFactor*d.Fleet.Expect(u, a.item.Flow.Kind, now)
 }
 
 func (t *taskState) dropAsk(ask Ask) {
--- a/internal/disp/disp_test.go
+++ b/internal/disp/disp_test.go
@@ -38,8 +38,8 @@
 
 var agentHost = host.Host{Name: "minion-1", Incarnation: "agent1", Role: host.RoleAgent}
 
-// desk is a dispatcher under test with what came out of it.
-type desk struct {
+// harness is a dispatcher under test with what came out of it.
+type harness struct {
 	*disp.Dispatcher
 	t       require.TestingT
 	now     clock.Millis
@@ -50,7 +50,7 @@
 	others  []disp.Action
 }
 
-func newDesk(t require.TestingT, incarnation string) *desk {
+func newHarness(t require.TestingT, incarnation string) *harness {
 	fleet := route.New()
 	d := disp.New(disp.Settings{
 		Self:        host.Host{Name: "entry", Incarnation: incarnation, Role: host.RoleEntry},
@@ -62,7 +62,7 @@
 		Ledger: grant.NewLedger(), Table: grant.NewTable(grant.TableLimits{Window: 60_000, MaxKeys: 1000, MaxAnswerBytes: 1 << 20}),
 		Roster: roster.New(), Audit: audit.New(1000, 100),
 	})
-	k := &desk{Dispatcher: d, t: t, now: 1_000_000, answers: map[disp.Caller]reply.Answer{}}
+	k := &harness{Dispatcher: d, t: t, now: 1_000_000, answers: map[disp.Caller]reply.Answer{}}
 	v := d.Book.Amend(0, contr.Amendment{Base: contr.NoVersion, Name: "contract/c", Text: contractText})
 	require.True(t, v.Accepted, v.Reason)
 	d.ConfigChanged(d.Book.Sorted(), k.now)
@@ -70,12 +70,12 @@
 	return k
 }
 
-func (k *desk) withAgent(h host.Host, slots int) *desk {
+func (k *harness) withAgent(h host.Host, slots int) *harness {
 	k.SetAgent(disp.AgentState{Agent: h, Name: h.Name, Slots: slots, Kinds: []string{"check", "assign"}, Load: disp.Load{Window: slots}}, k.now)
 	return k
 }
 
-func (k *desk) take() {
+func (k *harness) take() {
 	for _, a := range k.TakeActions() {
 		switch act := a.(type) {
 		case disp.Reply:
@@ -92,7 +92,7 @@
 	}
 }
 
-func (k *desk) submission(kind, key string, tasks int) disp.Submission {
+func (k *harness) submission(kind, key string, tasks int) disp.Submission {
 	k.callers++
 	s := disp.Submission{
 		Caller: k.callers, Request: fmt.Sprintf("r%d", k.callers), Customer: "c", Kind: kind,
@@ -109,13 +109,13 @@
 	return s
 }
 
-func (k *desk) submit(s disp.Submission) disp.Caller {
+func (k *harness) submit(s disp.Submission) disp.Caller {
 	k.Submit(s, k.now)
 	k.take()
 	return s.Caller
 }
 
-func (k *desk) done(s disp.Start, o disp.Outcome) {
+func (k *harness) done(s disp.Start, o disp.Outcome) {
 	k.Done(s.Agent, s.Ask, o, k.now)
 	k.take()
 }
@@ -124,7 +124,7 @@
 	return disp.Outcome{Type: disp.OutcomeOK, ServiceMS: 10, Result: reply.Result{Body: []byte(s.Key)}}
 }
 
-func (k *desk) problem(c disp.Caller) *reply.Problem {
+func (k *harness) problem(c disp.Caller) *reply.Problem {
 	a, ok := k.answers[c]
 	require.True(k.t, ok, "caller %d has no answer", c)
 	require.NotNil(k.t, a.Problem)
@@ -132,7 +132,7 @@
 }
 
 func TestResubmissionJoinsAndGetsTheSameAnswer(t *testing.T) {
-	k := newDesk(t, "e1").withAgent(agentHost, 8)
+	k := newHarness(t, "e1").withAgent(agentHost, 8)
 	key := k.Ticket(k.now)
 	first := k.submit(k.submission("assign", key, 1))
 	second := k.submit(k.submission("assign", key, 1))
@@ -151,7 +151,7 @@
 
 func TestNonIdempotentIsNeverSentAgainAfterAPossibleStart(t *testing.T) {
 	for _, o := range []disp.OutcomeType{disp.OutcomeMaybe, disp.OutcomeFailed} {
-		k := newDesk(t, "e1").withAgent(agentHost, 8)
+		k := newHarness(t, "e1").withAgent(agentHost, 8)
 		key := k.Ticket(k.now)
 		c := k.submit(k.submission("assign", key, 1))
 		k.done(k.starts[0], disp.Outcome{Type: o})
@@ -165,7 +165,7 @@
 
 func TestNotRunIsSentElsewhere(t *testing.T) {
 	second := host.Host{Name: "minion-2", Incarnation: "agent2", Role: host.RoleAgent}
-	k := newDesk(t, "e1").withAgent(agentHost, 8).withAgent(second, 8)
+	k := newHarness(t, "e1").withAgent(agentHost, 8).withAgent(second, 8)
 	c := k.submit(k.submission("assign", k.Ticket(k.now), 1))
 	k.done(k.starts[0], disp.Outcome{Type: disp.OutcomeNotRun, Detail: "leaving"})
 	require.Len(t, k.starts, 2)
@@ -175,7 +175,7 @@
 }
 
 func TestUnreachableUpstreamEndsAsNotRun(t *testing.T) {
-	k := newDesk(t, "e1").withAgent(agentHost, 8)
+	k := newHarness(t, "e1").withAgent(agentHost, 8)
 	c := k.submit(k.submission("assign", k.Ticket(k.now), 1))
 	for i := 0; i < len(k.starts) && i < 100; i++ {
 		k.done(k.starts[i], disp.Outcome{Type: disp.OutcomeNotRun, Fault: true, Detail: "refused"})
@@ -189,7 +189,7 @@
 
 func TestLinkLostResendsOnlyIdempotentWork(t *testing.T) {
 	second := host.Host{Name: "minion-2", Incarnation: "agent2", Role: host.RoleAgent}
-	k := newDesk(t, "e1").withAgent(agentHost, 8)
+	k := newHarness(t, "e1").withAgent(agentHost, 8)
 	check := k.submit(k.submission("check", "", 1))
 	assign := k.submit(k.submission("assign", k.Ticket(k.now), 1))
 	job := k.submit(k.submission("check", k.Ticket(k.now), 2))
@@ -207,7 +207,7 @@
 }
 
 func TestJobIsWholeOrFailed(t *testing.T) {
-	k := newDesk(t, "e1").withAgent(agentHost, 2)
+	k := newHarness(t, "e1").withAgent(agentHost, 2)
 	c := k.submit(k.submission("assign", k.Ticket(k.now), 4))
 	require.Len(t, k.starts, 2)
 	k.done(k.starts[0], okOutcome(k.starts[0]))
@@ -223,7 +223,7 @@
 }
 
 func TestCancelledJobThatDidNotRunNeverRuns(t *testing.T) {
-	k := newDesk(t, "e1")
+	k := newHarness(t, "e1")
 	k.withAgent(agentHost, 1)
 	k.submit(k.submission("assign", k.Ticket(k.now), 1))
 	key := k.Ticket(k.now)
@@ -240,7 +240,7 @@
 }
 
 func TestDeadlineInLineIsNotRunAndMayBeSentAgain(t *testing.T) {
-	k := newDesk(t, "e1").withAgent(agentHost, 1)
+	k := newHarness(t, "e1").withAgent(agentHost, 1)
 	k.submit(k.submission("assign", k.Ticket(k.now), 1))
 	key := k.Ticket(k.now)
 	c := k.submit(k.submission("assign", key, 1))
@@ -257,7 +257,7 @@
 }
 
 func TestTaskThatCannotEndInTimeIsNotStarted(t *testing.T) {
-	k := newDesk(t, "e1").withAgent(agentHost, 1)
+	k := newHarness(t, "e1").withAgent(agentHost, 1)
 	k.submit(k.submission("assign", k.Ticket(k.now), 1))
 	k.done(k.starts[0], disp.Outcome{Type: disp.OutcomeOK, ServiceMS: 600})
 	k.submit(k.submission("assign", k.Ticket(k.now), 1))
@@ -273,10 +273,10 @@
 	require.True(t, k.answers[again].Complete())
 }
 
-func TestHastyCallersDoNotEjectAnUpstream(t *testing.T) {
+func TestShortDeadlinesDoNotEjectAnUpstream(t *testing.T) {
 	second := host.Host{Name: "minion-2", Incarnation: "agent2", Role: host.RoleAgent}
 	for served, want := range map[clock.Millis]route.Health{100: route.HealthGood, 900: route.HealthEjected} {
-		k := newDesk(t, "e1").withAgent(agentHost, 8).withAgent(second, 8)
+		k := newHarness(t, "e1").withAgent(agentHost, 8).withAgent(second, 8)
 		for i := range 10 {
 			k.submit(k.submission("assign", k.Ticket(k.now), 1))
 			s := k.starts[len(k.starts)-1]
@@ -297,7 +297,7 @@
 }
 
 func TestLateAnswerIsKeptForTheResubmission(t *testing.T) {
-	k := newDesk(t, "e1").withAgent(agentHost, 1)
+	k := newHarness(t, "e1").withAgent(agentHost, 1)
 	key := k.Ticket(k.now)
 	c := k.submit(k.submission("assign", key, 1))
 	k.now += 1000
@@ -311,7 +311,7 @@
 }
 
 func TestRefusalsNameTheLineAndRunNothing(t *testing.T) {
-	k := newDesk(t, "e1")
+	k := newHarness(t, "e1")
 	none := k.submit(k.submission("check", "", 1))
 	require.Equal(t, reply.TypeNoUpstream, k.problem(none).Type)
 	k.withAgent(agentHost, 1)
@@ -336,7 +336,7 @@
 }
 
 func TestPlainKeysBelongToTheGrantHolder(t *testing.T) {
-	k := newDesk(t, "e1").withAgent(agentHost, 8)
+	k := newHarness(t, "e1").withAgent(agentHost, 8)
 	uuidAt := func(at clock.Millis, n int) string {
 		return fmt.Sprintf("%08x-%04x-7000-8000-%012x", int64(at)>>16, int64(at)&0xffff, n)
 	}
@@ -369,7 +369,7 @@
 }
 
 func TestHandoverTellsWhatRanAndWhatNeverDid(t *testing.T) {
-	a := newDesk(t, "e1").withAgent(agentHost, 8)
+	a := newHarness(t, "e1").withAgent(agentHost, 8)
 	ran, never := a.Ticket(a.now), a.Ticket(a.now)
 	a.submit(a.submission("assign", ran, 1))
 	a.done(a.starts[0], okOutcome(a.starts[0]))
@@ -378,7 +378,7 @@
 	require.Equal(t, reply.TypeShuttingDown, a.problem(late).Type)
 	require.True(t, a.Idle())
 
-	b := newDesk(t, "e2").withAgent(agentHost, 8)
+	b := newHarness(t, "e2").withAgent(agentHost, 8)
 	b.Keep(a.Handover(), b.now)
 	first := b.submit(b.submission("assign", ran, 1))
 	require.Equal(t, []byte(ran), b.answers[first].Results[0].Body)
@@ -388,7 +388,7 @@
 }
 
 func TestAnswerOfAGoneEntryIsFoundWithTheAgents(t *testing.T) {
-	b := newDesk(t, "e2").withAgent(agentHost, 8)
+	b := newHarness(t, "e2").withAgent(agentHost, 8)
 	key := grant.NewTicket("gone", b.now)
 	c := b.submit(b.submission("assign", key, 1))
 	find := b.others[0].(disp.Find)
@@ -400,7 +400,7 @@
 
 func TestRetiredUpstreamStopsAndComesBack(t *testing.T) {
 	for _, name := range []string{"upstream/minion-1", "host/minion-1"} {
-		k := newDesk(t, "e1").withAgent(agentHost, 8)
+		k := newHarness(t, "e1").withAgent(agentHost, 8)
 		require.True(t, k.Book.Amend(10, contr.Amendment{Base: contr.NoVersion, Name: name, Text: "moved"}).Accepted)
 		k.ConfigChanged([]contr.Document{k.Book.Documents[name]}, k.now)
 		refused := k.submit(k.submission("check", "", 1))
@@ -414,7 +414,7 @@
 
 // anyOrder drives a dispatcher through events in any order.
 type anyOrder struct {
-	*desk
+	*harness
 	keys []string
 	// ended, notRun and gone are how attempts ended.
 	ended, notRun, gone map[disp.Ask]bool
@@ -422,8 +422,8 @@
 
 func TestEveryCallerGetsOneAnswer(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		k := newDesk(t, "e1").withAgent(agentHost, 2)
-		o := &anyOrder{desk: k, keys: []string{k.Ticket(k.now), k.Ticket(k.now), k.Ticket(k.now)},
+		k := newHarness(t, "e1").withAgent(agentHost, 2)
+		o := &anyOrder{harness: k, keys: []string{k.Ticket(k.now), k.Ticket(k.now), k.Ticket(k.now)},
 			ended: map[disp.Ask]bool{}, notRun: map[disp.Ask]bool{}, gone: map[disp.Ask]bool{}}
 		t.Repeat(map[string]func(*rapid.T){
 			"submit": func(t *rapid.T) {
--- a/internal/fair/customer.go
+++ b/internal/fair/customer.go
@@ -35,15 +35,15 @@
 }
 
 type kind struct {
-	name    string
-	share   float64
-	urgent  bool
-	used    float64
-	lots    []*lot
-	byLot   map[uint64]*lot
-	waiting int
-	node    *pque.Node[*kind]
-	hot     *pque.Node[*kind]
+	name       string
+	share      float64
+	urgent     bool
+	used       float64
+	lots       []*lot
+	byLot      map[uint64]*lot
+	waiting    int
+	node       *pque.Node[*kind]
+	urgentNode *pque.Node[*kind]
 }
 
 type lot struct {
@@ -110,18 +110,17 @@
 
 func (cu *customer) placeKind(k *kind) {
 	setOrRemove(&cu.order, k.node, k.waiting > 0, k.used)
-	setOrRemove(&cu.urgent, k.hot, k.waiting > 0 && k.urgent, k.used)
+	setOrRemove(&cu.urgent, k.urgentNode, k.waiting > 0 && k.urgent, k.used)
 }
 
+// configure takes over what the contract says of the kind.
 func (cu *customer) configure(k *kind) {
-	k.share = unknownShare
-	k.urgent = false
-	if cu.contract == nil {
-		return
-	}
-	if c := cu.contract.Kind(k.name); c != nil {
-		k.share = c.Share
-		k.urgent = c.Priority == contr.PriorityUrgent
+	k.share, k.urgent = unknownShare, false
+	if cu.contract != nil {
+		if c := cu.contract.Kind(k.name); c != nil {
+			k.share = c.Share
+			k.urgent = c.Priority == contr.PriorityUrgent
+		}
 	}
 	cu.placeKind(k)
 }
@@ -147,7 +146,7 @@
 	}
 	k = &kind{name: name, byLot: map[uint64]*lot{}}
 	k.node = &pque.Node[*kind]{Value: k}
-	k.hot = &pque.Node[*kind]{Value: k}
+	k.urgentNode = &pque.Node[*kind]{Value: k}
 	cu.kinds[name] = k
 	cu.configure(k)
 	return k
--- a/internal/local/outside_test.go
+++ b/internal/local/outside_test.go
@@ -24,15 +24,15 @@
 
 const token = "lusofala-events-token"
 
-// site is a deployment under test and a caller of it.
-type site struct {
+// deployment is a deployment under test and a caller of it.
+type deployment struct {
 	*local.Stack
 	t        *testing.T
 	client   *http.Client
 	contract []byte
 }
 
-func startSite(t *testing.T, change func(*local.Options)) *site {
+func startDeployment(t *testing.T, change func(*local.Options)) *deployment {
 	t.Helper()
 	o := sample(t)
 	if change != nil {
@@ -41,7 +41,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	s, err := local.Start(ctx, o, slog.New(slog.NewJSONHandler(io.Discard, nil)))
 	require.NoError(t, err)
-	w := &site{Stack: s, t: t, contract: o.Contracts[0], client: &http.Client{Transport: &http.Transport{}}}
+	w := &deployment{Stack: s, t: t, contract: o.Contracts[0], client: &http.Client{Transport: &http.Transport{}}}
 	t.Cleanup(func() {
 		s.Close()
 		cancel()
@@ -62,7 +62,7 @@
 	}
 }
 
-func (w *site) call(entry int, method, path string, header map[string]string, body io.Reader) answer {
+func (w *deployment) call(entry int, method, path string, header map[string]string, body io.Reader) answer {
 	w.t.Helper()
 	req, err := http.NewRequest(method, "http://"+w.Entries[entry].Addresses.Callers+path, body)
 	require.NoError(w.t, err)
@@ -82,12 +82,12 @@
 	return a
 }
 
-func (w *site) post(kind string, header map[string]string, body string) answer {
+func (w *deployment) post(kind string, header map[string]string, body string) answer {
 	w.t.Helper()
 	return w.call(0, http.MethodPost, "/v1/requests/"+kind, header, strings.NewReader(body))
 }
 
-func (w *site) ticket(entry int) string {
+func (w *deployment) ticket(entry int) string {
 	w.t.Helper()
 	a := w.call(entry, http.MethodPost, "/v1/tickets", nil, nil)
 	var out struct{ Tickets []string }
@@ -96,7 +96,7 @@
 }
 
 func TestBadInput(t *testing.T) {
-	w := startSite(t, nil)
+	w := startDeployment(t, nil)
 	large := strings.Repeat("x", 2<<20)
 	plain := uuid.Must(uuid.NewV7()).String()
 	for _, c := range []struct {
@@ -136,7 +136,7 @@
 }
 
 func TestSlowSenderHoldsUpNobody(t *testing.T) {
-	w := startSite(t, nil)
+	w := startDeployment(t, nil)
 	c, err := net.Dial("tcp", w.Entries[0].Addresses.Callers)
 	require.NoError(t, err)
 	defer c.Close()
@@ -147,7 +147,7 @@
 }
 
 func TestUpstreamThatCutsItsAnswer(t *testing.T) {
-	w := startSite(t, func(o *local.Options) { o.Upstreams = o.Upstreams[:1] })
+	w := startDeployment(t, func(o *local.Options) { o.Upstreams = o.Upstreams[:1] })
 	w.Agents[0].Upstream.SetBehaviour(fakes.BehaviourCut)
 	a := w.post("assignment", map[string]string{"Idempotency-Key": w.ticket(0)}, "x")
 	require.Equal(t, 502, a.status, a.body)
@@ -156,7 +156,7 @@
 }
 
 func TestAnswerAfterTheTimeoutGoesToNobodyElse(t *testing.T) {
-	w := startSite(t, func(o *local.Options) {
+	w := startDeployment(t, func(o *local.Options) {
 		o.Upstreams = o.Upstreams[:1]
 		o.Upstreams[0].Services = map[string]float64{"availability": 300, "assignment": 300}
 	})
@@ -170,7 +170,7 @@
 }
 
 func TestAnswersThatCrossReachTheirOwnCallers(t *testing.T) {
-	w := startSite(t, nil)
+	w := startDeployment(t, nil)
 	ends := make(chan error, 60)
 	for i := range cap(ends) {
 		go func() {
@@ -201,7 +201,7 @@
 
 func TestSameKeyThroughBothEntriesStartsOnce(t *testing.T) {
 	starts := make(chan fakes.TaskStart, 100)
-	w := startSite(t, func(o *local.Options) {
+	w := startDeployment(t, func(o *local.Options) {
 		for i := range o.Upstreams {
 			o.Upstreams[i].OnStart = func(s fakes.TaskStart) { starts <- s }
 		}
@@ -220,7 +220,7 @@
 }
 
 func TestJobEndToEnd(t *testing.T) {
-	w := startSite(t, nil)
+	w := startDeployment(t, nil)
 	id := w.ticket(1)
 	body := fmt.Sprintf(`{"id":%q,"kind":"assignment","tasks":[{"payload":1},{"payload":22},{"payload":333}]}`, id)
 	a := w.call(0, http.MethodPost, "/v1/jobs", nil, strings.NewReader(body))
@@ -244,7 +244,7 @@
 }
 
 func TestEntryWithoutTheLogServesTickets(t *testing.T) {
-	w := startSite(t, nil)
+	w := startDeployment(t, nil)
 	w.Log.SetFault(fakes.LogFault{Down: true})
 	a := w.post("assignment", map[string]string{"Idempotency-Key": w.ticket(0)}, "x")
 	require.Equal(t, 200, a.status, a.body)
@@ -264,7 +264,7 @@
 }
 
 func TestEntryCutFromItsAgentsRefusesAndComesBack(t *testing.T) {
-	w := startSite(t, func(o *local.Options) { o.Relayed = true })
+	w := startDeployment(t, func(o *local.Options) { o.Relayed = true })
 	ctx := context.Background()
 	w.Entries[0].Relay.Block(ctx, true)
 	require.Eventually(t, func() bool {
@@ -278,7 +278,7 @@
 }
 
 func TestEntryStartsBehindTheLogsRetention(t *testing.T) {
-	w := startSite(t, func(o *local.Options) {
+	w := startDeployment(t, func(o *local.Options) {
 		o.Retention = 6
 		o.RetentionMS = 8000 // a snapshot each second
 	})
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -234,12 +234,12 @@
 	}
 	mine := slots * float64(u.InFlight+1) / total
 	wait := service * (total - slots) / slots
-	return finish + wait*f.burden(kind, service, mine, now)
+	return finish + wait*f.waitWeight(kind, service, mine, now)
 }
 
-// burden returns by how much a wait for slots counts, since it delays those who come
+// waitWeight returns by how much a wait for slots counts, since it delays those who come
 // later: the more, the fuller the arrivals keep the slots.
-func (f *Fleet) burden(kind string, service, slots float64, now clock.Millis) float64 {
+func (f *Fleet) waitWeight(kind string, service, slots float64, now clock.Millis) float64 {
 	free := 1 - f.offered(kind, service, now)/slots
 	return 1 / max(free, minFreePart)
 }
@@ -272,7 +272,7 @@
 		return false
 	}
 	service := float64(busy) / releases
-	wait := float64(waiting) / releases * f.burden(kind, service, float64(busy), now)
+	wait := float64(waiting) / releases * f.waitWeight(kind, service, float64(busy), now)
 	return wait+service < finish
 }
 
