--- a/internal/fair/fair_test.go
+++ b/internal/fair/fair_test.go
@@ -177,6 +177,17 @@
 	require.InDelta(t, used["rushed"], used["other"], 1100)
 }
 
+func TestRemovedContractLosesItsUrgency(t *testing.T) {
+	q := fair.New()
+	q.SetSlots(10)
+	q.SetContract(contractOf("c", 1, 0, 0, 100))
+	q.Push(fair.Item{ID: 1, Flow: fair.Flow{Customer: "c", Kind: "check"}, Cost: 1}, 1000)
+	q.RemoveContract("c")
+	p, ok := q.Next(2000, anyKind)
+	require.True(t, ok)
+	require.Equal(t, fair.RuleShare, p.Rule)
+}
+
 func TestWorkAtOtherEntriesCounts(t *testing.T) {
 	q := fair.New()
 	q.SetContract(contractOf("flood", 1, 0, 0, 0))
