Count starts by payload, so that a start under another key shows

Cause: a trial in which the peer starts a gone entry's key itself passed starts_beyond_one. The upstream is told the request's id as key then, and starts were counted by that key.

Change: every submission has a payload of its own, and starts and false refusals are counted by it.

Ruled out: fewer faults; the trial did start twice, the answers differed.

--- a/internal/bench/keys.go
+++ b/internal/bench/keys.go
@@ -17,7 +17,9 @@
 
 // submission is one non-idempotent request or job that is sent several times.
 type submission struct {
-	key   string
+	key string
+	// mark is the payload of its tasks, which no other submission has.
+	mark  string
 	job   bool
 	tasks int
 	body  []byte
@@ -136,7 +138,8 @@
 			s.key = t
 		}
 	}
-	s.body = []byte(fmt.Sprintf(`"task %d"`, i))
+	s.mark = fmt.Sprint(i)
+	s.body = []byte(s.mark)
 	if s.job {
 		s.tasks = jobTasks
 		payloads := strings.TrimSuffix(strings.Repeat(fmt.Sprintf(`{"payload":%d},`, i), jobTasks), ",")
@@ -161,8 +164,9 @@
 	results <- a
 }
 
-// beyondOne counts starts of a non-idempotent task after its first. Idempotent kinds
-// may be hedged and tried again.
+// beyondOne counts starts of a non-idempotent task after its first, whatever key the
+// upstream was told: a start under another key would be the fault itself. Idempotent
+// kinds may be hedged and tried again.
 func beyondOne(starts []timedStart) int {
 	seen := map[string]int{}
 	beyond := 0
@@ -170,7 +174,7 @@
 		if s.Kind != "assign" {
 			continue
 		}
-		task := fmt.Sprintf("%s/%d", s.Key, s.Index)
+		task := fmt.Sprintf("%s/%d", s.Payload, s.Index)
 		seen[task]++
 		if seen[task] > 1 {
 			beyond++
@@ -214,8 +218,8 @@
 func falseNotRun(attempts []attempt, starts []timedStart) int {
 	began := map[string]time.Time{}
 	for _, s := range starts {
-		if at, ok := began[s.Key]; !ok || s.at.Before(at) {
-			began[s.Key] = s.at
+		if at, ok := began[s.Payload]; !ok || s.at.Before(at) {
+			began[s.Payload] = s.at
 		}
 	}
 	refused := map[string]int{}
@@ -225,7 +229,7 @@
 			continue
 		}
 		refused[a.sub.key]++
-		at, started := began[a.sub.key]
+		at, started := began[a.sub.mark]
 		if started && at.Before(a.sentAt) {
 			n++
 		}
@@ -311,7 +315,8 @@
 func (g *generator) settle(ctx context.Context, entries []string, until time.Time, results chan<- plainResult) {
 	out := plainResult{}
 	defer func() { results <- out }()
-	s := &submission{key: uuid.Must(uuid.NewV7()).String(), tasks: 1, body: []byte(`"plain"`)}
+	s := &submission{key: uuid.Must(uuid.NewV7()).String(), tasks: 1}
+	s.body = []byte(s.key)
 	answers := make(chan attempt, 1)
 	for i := 0; time.Now().Before(until); i++ {
 		go g.sendCopy(ctx, s, entries[i%len(entries)], 0, answers)
--- a/internal/bench/load.go
+++ b/internal/bench/load.go
@@ -61,6 +61,8 @@
 	// entries gives the base URLs that a balancer would use at present.
 	entries func() []string
 	began   time.Time
+	// sent numbers the payloads, so that no two submissions share one.
+	sent int
 }
 
 const (
@@ -93,7 +95,7 @@
 	g.began = time.Now()
 	results := make(chan sample, maxInFlight)
 	var out []sample
-	inFlight, sent := 0, 0
+	inFlight := 0
 	next := make([]time.Duration, len(sources))
 	for i := range sources {
 		next[i] = g.gap(sources[i])
@@ -105,10 +107,10 @@
 			break
 		}
 		inFlight -= collect(results, time.Until(g.began.Add(at)), &out)
-		sent++
+		g.sent++
 		if inFlight < maxInFlight {
 			inFlight++
-			go g.one(ctx, sources[i], g.entry(sources[i]), sent, results)
+			go g.one(ctx, sources[i], g.entry(sources[i]), g.sent, results)
 		} else {
 			out = append(out, sample{source: sources[i], failed: errBusy})
 		}
--- a/internal/fakes/upstream.go
+++ b/internal/fakes/upstream.go
@@ -61,6 +61,7 @@
 	Kind     string
 	Key      string
 	Index    int
+	Payload  string
 }
 
 // Upstream is a stand-in upstream: an HTTP server that takes its time.
@@ -192,7 +193,7 @@
 	key := r.Header.Get("Task-Key")
 	index, _ := strconv.Atoi(r.Header.Get("Task-Index"))
 	if u.settings.OnStart != nil {
-		u.settings.OnStart(TaskStart{Upstream: u.settings.Name, Kind: kind, Key: key, Index: index})
+		u.settings.OnStart(TaskStart{Upstream: u.settings.Name, Kind: kind, Key: key, Index: index, Payload: string(payload)})
 	}
 	b := <-u.behaviour
 	u.behaviour <- b
