Drop an unused setting of links and name the constants of renewal

Cause: read as a newcomer would: link.Settings.Heartbeat was not used, and a block of constants had no word on any.

Tests twice more without cache: 14 packages ok each time.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -103,7 +103,7 @@
 		calls:    map[uint64]context.CancelFunc{},
 		listed:   map[string]clock.Millis{},
 	}
-	a.node = link.New(link.Settings{Self: s.Self, TLS: s.TLS, Heartbeat: s.Heartbeat, Silence: s.Silence}, log)
+	a.node = link.New(link.Settings{Self: s.Self, TLS: s.TLS, Silence: s.Silence}, log)
 	a.web = newWeb(s.Listen, a.inbox, log)
 	return a
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -151,7 +151,7 @@
 		amendments: map[string]*pendingAmendment{},
 	}
 	e.node = link.New(link.Settings{
-		Self: s.Self, Listen: s.Links, TLS: s.TLS, Heartbeat: s.Heartbeat, Silence: s.Silence}, log)
+		Self: s.Self, Listen: s.Links, TLS: s.TLS, Silence: s.Silence}, log)
 	e.callers = newCallersWeb(s, c, e.inbox, log)
 	e.operators = newOperatorsWeb(s, c, e.inbox, log)
 	e.platform = newPlatform(l, s.Self.Place.Region, log)
--- a/internal/entry/platform.go
+++ b/internal/entry/platform.go
@@ -233,24 +233,28 @@
 	e.applyGrants(s.replay.Force(), now)
 }
 
-// renewEvery is the interval at which grants are renewed and the entry announces
-// itself: one append a second.
 const (
-	renewEvery                    = clock.Second
-	BaseHorizonMS                 = 5 * clock.Second
-	maxHorizonMS                  = 60 * clock.Second
-	horizonPerAppend              = 3
-	renewTimeoutMS                = 10 * clock.Second
-	snapshotPart                  = 8
-	amendmentWaitMS               = 10 * clock.Second
-	minSnapshotMS                 = clock.Second
-	coldCheckMS      clock.Millis = 1000
+	// renewEvery is the interval at which grants are renewed and the entry announces
+	// itself: one append a second.
+	renewEvery = clock.Second
+	// BaseHorizonMS is how far ahead key time is granted while the log is quick. It
+	// grows with the time that appends take, up to maxHorizonMS.
+	BaseHorizonMS    = 5 * clock.Second
+	maxHorizonMS     = 60 * clock.Second
+	horizonPerAppend = 3
+	// renewTimeoutMS is how long a renewal may stay without an answer.
+	renewTimeoutMS = 10 * clock.Second
+	// snapshotPart of the retention is the interval between snapshots.
+	snapshotPart  = 8
+	minSnapshotMS = clock.Second
+	// amendmentWaitMS is how long an amendment waits to be read back.
+	amendmentWaitMS = 10 * clock.Second
 )
 
 // renew asks the log for the next piece of key time. One append is out at a time.
 func (e *Entry) renew(now clock.Millis) {
 	p := e.platform
-	if !p.grants.replay.Based && p.grants.readable && now-p.renewedAt >= coldCheckMS {
+	if !p.grants.replay.Based && p.grants.readable && now-p.renewedAt >= renewEvery {
 		e.coldStart(&p.grants, now)
 	}
 	if e.phase != phaseServing || now-p.renewedAt < renewEvery {
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -44,7 +44,7 @@
 	require.NoError(ns.t, err)
 	n := link.New(link.Settings{
 		Self:   host.Host{Name: claimed, Incarnation: host.NewIncarnation(), Role: host.RoleEntry},
-		Listen: listen, TLS: c, Heartbeat: 100, Silence: 600,
+		Listen: listen, TLS: c, Silence: 600,
 	}, slog.New(slog.NewJSONHandler(io.Discard, nil)))
 	address, err := n.Open()
 	require.NoError(ns.t, err)
--- a/internal/link/node.go
+++ b/internal/link/node.go
@@ -22,10 +22,8 @@
 	// Listen is the UDP address to accept links on; empty for none.
 	Listen string
 	TLS    *tls.Config
-	// Heartbeat is the interval at which the owner sends on each link.
-	Heartbeat clock.Millis
 	// Silence is how long a link may bring nothing before it is closed; more than
-	// twice Heartbeat.
+	// twice the interval at which the owner sends heartbeats.
 	Silence clock.Millis
 }
 
