--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -16,7 +16,7 @@
 const (
 	maxHeaderBytes    = 16 << 10
 	readHeaderTimeout = 5 * time.Second
-	readTimeout       = 15 * time.Second
+	defaultRead       = 15 * time.Second
 	idleTimeout       = 2 * time.Minute
 	shutdownTimeout   = 3 * time.Second
 )
@@ -25,14 +25,16 @@
 type Server struct {
 	// Listen is the address to listen on.
 	Listen string
-	log    *slog.Logger
-	socket net.Listener
-	stop   chan struct{}
+	// ReadTimeout is how long a whole request may take to arrive.
+	ReadTimeout time.Duration
+	log         *slog.Logger
+	socket      net.Listener
+	stop        chan struct{}
 }
 
 // New returns a server; Open it before Run.
 func New(listen string, log *slog.Logger) *Server {
-	return &Server{Listen: listen, log: log, stop: make(chan struct{}, 1)}
+	return &Server{Listen: listen, ReadTimeout: defaultRead, log: log, stop: make(chan struct{}, 1)}
 }
 
 // Open binds the socket and returns its address.
@@ -58,7 +60,7 @@
 	hs := &http.Server{
 		Handler:           h,
 		ReadHeaderTimeout: readHeaderTimeout,
-		ReadTimeout:       readTimeout,
+		ReadTimeout:       s.ReadTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ErrorLog:          slog.NewLogLogger(s.log.Handler(), slog.LevelDebug),
