Let a list of entries in measure have one owner at a time

Cause: leave changed the list of entries while the load read it: shared state without an owner, and the same lines stood in four scenarios.

--- a/internal/bench/change.go
+++ b/internal/bench/change.go
@@ -193,21 +193,14 @@
 
 // restart replaces every entry and agent in turn under load.
 func restart(ctx context.Context, o Options) ([]Figure, error) {
-	rec := newRecorder()
-	lo := options(o, false)
-	lo.Upstreams = upstreams(rec.note)
+	rec, lo := recorded(o)
 	var figures []Figure
 	err := with(ctx, o, lo, func(s *local.Stack, g *generator) error {
-		rotation := make(chan []string, 1)
-		rotation <- callers(s)
-		g.entries = func() []string {
-			es := <-rotation
-			rotation <- es
-			return es
-		}
+		ready := newRotation(callers(s))
+		g.entries = ready.get
 		g.run(ctx, warmUp, mixed(faultLoad))
 		span := time.Duration(len(s.Entries))*9*time.Second + time.Duration(len(s.Agents))*4*time.Second
-		samples, err := loaded(ctx, g, span, mixed(faultLoad), func() error { return restartAll(s, rotation) })
+		samples, err := loaded(ctx, g, span, mixed(faultLoad), func() error { return restartAll(s, ready) })
 		if err != nil {
 			return err
 		}
@@ -223,15 +216,14 @@
 	return figures, err
 }
 
-func restartAll(s *local.Stack, rotation chan []string) error {
+func restartAll(s *local.Stack, ready rotation) error {
 	for _, old := range append([]*local.EntryProc(nil), s.Entries...) {
 		if _, err := s.AddEntry(); err != nil {
 			return err
 		}
 		time.Sleep(restartPause)
-		<-rotation
 		s.RemoveEntry(old)
-		rotation <- callers(s)
+		ready.set(callers(s))
 		old.Entry.Drain()
 		<-old.Done
 	}
--- a/internal/bench/faults.go
+++ b/internal/bench/faults.go
@@ -34,6 +34,14 @@
 	return &recorder{starts: make(chan timedStart, maxStartsBuffer)}
 }
 
+// recorded returns the options of a deployment whose starts are recorded.
+func recorded(o Options) (*recorder, local.Options) {
+	rec := newRecorder()
+	lo := options(o, false)
+	lo.Upstreams = upstreams(rec.note)
+	return rec, lo
+}
+
 // note is called by upstreams, from many goroutines.
 func (r *recorder) note(s fakes.TaskStart) {
 	select {
@@ -74,20 +82,19 @@
 // leave stops an upstream, retires another, and drains an agent and an entry under
 // load: nothing in flight may be cut.
 func leave(ctx context.Context, o Options) ([]Figure, error) {
-	rec := newRecorder()
-	lo := options(o, false)
-	lo.Upstreams = append(upstreams(rec.note), upstreams(rec.note)...)
+	rec, lo := recorded(o)
+	lo.Upstreams = append(lo.Upstreams, upstreams(rec.note)...)
 	for i := range lo.Upstreams {
 		lo.Upstreams[i].Name = fmt.Sprintf("minion-%d", i+1)
 	}
 	left := map[string]time.Time{}
 	var figures []Figure
 	err := with(ctx, o, lo, func(s *local.Stack, g *generator) error {
-		ready := callers(s)
-		g.entries = func() []string { return ready }
+		ready := newRotation(callers(s))
+		g.entries = ready.get
 		g.run(ctx, warmUp, mixed(faultLoad))
 		samples, err := loaded(ctx, g, leaveSpan, mixed(faultLoad), func() error {
-			return leaveSteps(ctx, s, left, func() { ready = ready[1:] })
+			return leaveSteps(ctx, s, left, func() { ready.set(callers(s)[1:]) })
 		})
 		if err != nil {
 			return err
--- a/internal/bench/keys.go
+++ b/internal/bench/keys.go
@@ -46,9 +46,7 @@
 // doubles sends every submission three times through two entries, while agents,
 // entries and the log are cut mid-way.
 func doubles(ctx context.Context, o Options) ([]Figure, error) {
-	rec := newRecorder()
-	lo := options(o, false)
-	lo.Upstreams = upstreams(rec.note)
+	rec, lo := recorded(o)
 	var attempts []attempt
 	err := with(ctx, o, lo, func(s *local.Stack, g *generator) error {
 		entries := callers(s)
@@ -251,9 +249,7 @@
 // logDown takes the log away for a while: idempotent and ticketed work goes on, and
 // plain keys are refused clearly and can be sent again.
 func logDown(ctx context.Context, o Options) ([]Figure, error) {
-	rec := newRecorder()
-	lo := options(o, false)
-	lo.Upstreams = upstreams(rec.note)
+	rec, lo := recorded(o)
 	var figures []Figure
 	err := with(ctx, o, lo, func(s *local.Stack, g *generator) error {
 		g.run(ctx, warmUp, mixed(faultLoad))
--- a/internal/bench/stack.go
+++ b/internal/bench/stack.go
@@ -106,6 +106,27 @@
 	return out
 }
 
+// rotation holds the entries that a balancer would use at present. The task that takes
+// the list out is the only one that has it.
+type rotation chan []string
+
+func newRotation(entries []string) rotation {
+	r := make(rotation, 1)
+	r <- entries
+	return r
+}
+
+func (r rotation) get() []string {
+	entries := <-r
+	r <- entries
+	return entries
+}
+
+func (r rotation) set(entries []string) {
+	<-r
+	r <- entries
+}
+
 // states reads the dump of every entry.
 func states(ctx context.Context, s *local.Stack) ([]entry.State, error) {
 	var out []entry.State
