Test that a cut between all processes starts nothing twice

Cause: PROOF.md listed cuts that are joined again as not proved.

Change: a keyed assignment runs while every link is cut and joined again; it is answered maybe, never no, and starts once.

Conclusion: zones with both roles on each side stay on the list.

--- a/internal/local/outside_test.go
+++ b/internal/local/outside_test.go
@@ -305,3 +305,38 @@
 	a := w.call(1, http.MethodPost, "/v1/requests/assignment", map[string]string{"Idempotency-Key": w.ticket(1)}, strings.NewReader("x"))
 	require.Equal(t, 200, a.status, a.body)
 }
+
+func TestEverybodyCutOffAndJoinedAgainStartsNothingTwice(t *testing.T) {
+	starts := make(chan fakes.TaskStart, 100)
+	w := startDeployment(t, func(o *local.Options) {
+		o.Relayed = true
+		for i := range o.Upstreams {
+			o.Upstreams[i].Services = map[string]float64{"availability": 10, "assignment": 1500}
+			o.Upstreams[i].OnStart = func(s fakes.TaskStart) { starts <- s }
+		}
+	})
+	ctx := context.Background()
+	key := map[string]string{"Idempotency-Key": w.ticket(0)}
+	first := make(chan answer, 1)
+	go func() { first <- w.post("assignment", key, "x") }()
+	started := <-starts
+	for _, e := range w.Entries {
+		e.Relay.Block(ctx, true)
+	}
+	require.Equal(t, "maybe", (<-first).problem.Ran)
+	for _, e := range w.Entries {
+		e.Relay.Block(ctx, false)
+	}
+	for i := range w.Entries {
+		require.Eventually(t, func() bool {
+			return w.call(i, http.MethodPost, "/v1/requests/availability", nil, strings.NewReader("x")).status == 200
+		}, 30*time.Second, 50*time.Millisecond)
+		again := w.call(i, http.MethodPost, "/v1/requests/assignment", key, strings.NewReader("x"))
+		require.NotEqual(t, "no", again.problem.Ran, again.body)
+	}
+	for len(starts) > 0 {
+		if s := <-starts; s.Kind == "assignment" {
+			require.Fail(t, "started twice", "%v, then %v", started, s)
+		}
+	}
+}
