--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -77,7 +77,7 @@
 
 	links map[string]*link.Link
 	// told holds what each entry was last told of the upstream.
-	told     map[string]string
+	told     map[string]*wire.Upstream
 	calls    map[uint64]context.CancelFunc
 	calling  int
 	caller   *caller
@@ -99,7 +99,7 @@
 		results:  make(chan result, inboxSize),
 		stop:     make(chan struct{}, 1),
 		links:    map[string]*link.Link{},
-		told:     map[string]string{},
+		told:     map[string]*wire.Upstream{},
 		calls:    map[uint64]context.CancelFunc{},
 		listed:   map[string]clock.Millis{},
 	}
--- a/internal/agent/frames.go
+++ b/internal/agent/frames.go
@@ -1,6 +1,8 @@
 package agent
 
 import (
+	"google.golang.org/protobuf/proto"
+
 	"github.com/turmericbarrow/turmericbarrow/internal/clock"
 	"github.com/turmericbarrow/turmericbarrow/internal/slot"
 	"github.com/turmericbarrow/turmericbarrow/internal/wire"
@@ -75,8 +77,8 @@
 		Load:          loadOf(a.core.LoadFor(entry)),
 		Draining:      a.draining,
 	}
-	if u := a.upstream(); u.String() != a.told[entry] {
-		a.told[entry] = u.String()
+	if u := a.upstream(); !proto.Equal(u, a.told[entry]) {
+		a.told[entry] = u
 		h.Upstream = u
 	}
 	return &wire.Frame{Body: &wire.Frame_Heartbeat{Heartbeat: h}}
--- a/internal/bench/change.go
+++ b/internal/bench/change.go
@@ -200,16 +200,14 @@
 		g.entries = ready.get
 		g.run(ctx, warmUp, mixed(faultLoad))
 		span := time.Duration(len(s.Entries))*9*time.Second + time.Duration(len(s.Agents))*4*time.Second
-		samples, err := loaded(ctx, g, span, mixed(faultLoad), func() error { return restartAll(s, ready) })
+		requests, cut, err := g.cutBy(ctx, o, span, func() error { return restartAll(s, ready) })
 		if err != nil {
 			return err
 		}
-		cut := count(samples, func(sm sample) bool { return !sm.ok() })
-		o.progress("  " + outcomes(samples))
 		figures = []Figure{
-			atMost("requests_cut", float64(cut), 0),
+			cut,
 			atMost("starts_beyond_one", float64(beyondOne(rec.taken())), 0),
-			plain("requests", float64(len(samples))),
+			plain("requests", float64(requests)),
 		}
 		return nil
 	})
--- a/internal/bench/faults.go
+++ b/internal/bench/faults.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/turmericbarrow/turmericbarrow/internal/contr"
@@ -79,6 +80,15 @@
 	return samples, <-disturbed
 }
 
+// cutBy runs the mixed load and, meanwhile, a planned disturbance, which may cut none
+// of its requests. It returns how many requests there were.
+func (g *generator) cutBy(ctx context.Context, o Options, span time.Duration, disturb func() error) (int, Figure, error) {
+	samples, err := loaded(ctx, g, span, mixed(faultLoad), disturb)
+	cut := count(samples, func(sm sample) bool { return !sm.ok() })
+	o.progress("  " + outcomes(samples))
+	return len(samples), atMost("requests_cut", float64(cut), 0), err
+}
+
 // leave stops an upstream, retires another, and drains an agent and an entry under
 // load: nothing in flight may be cut.
 func leave(ctx context.Context, o Options) ([]Figure, error) {
@@ -93,16 +103,14 @@
 		ready := newRotation(callers(s))
 		g.entries = ready.get
 		g.run(ctx, warmUp, mixed(faultLoad))
-		samples, err := loaded(ctx, g, leaveSpan, mixed(faultLoad), func() error {
+		_, cut, err := g.cutBy(ctx, o, leaveSpan, func() error {
 			return leaveSteps(ctx, s, left, func() { ready.set(callers(s)[1:]) })
 		})
 		if err != nil {
 			return err
 		}
-		cut := count(samples, func(sm sample) bool { return !sm.ok() })
-		o.progress("  " + outcomes(samples))
 		figures = []Figure{
-			atMost("requests_cut", float64(cut), 0),
+			cut,
 			atMost("ms_until_no_work", lastWork(rec.taken(), left), boundNoWorkMS),
 		}
 		return nil
@@ -160,7 +168,7 @@
 	silentSpan   = 8 * time.Second
 	silentAfter  = 2 * time.Second
 	probeEvery   = 20 * time.Millisecond
-	probeTimeout = 200 * time.Millisecond
+	probeTimeout = 400 * time.Millisecond
 )
 
 // silentLink drops every flow between agents and entries for good, while new flows
@@ -208,10 +216,10 @@
 }
 
 func probe(ctx context.Context, g *generator, entry string) bool {
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout+silentAfter/10)
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	h := http.Header{}
-	h.Set("Request-Timeout", "400")
+	h.Set("Request-Timeout", strconv.FormatInt(probeTimeout.Milliseconds(), 10))
 	r, err := send(ctx, g.client, http.MethodPost, entry+"/v1/requests/lookup", tokenOf(customerAgency), h, []byte("probe"))
 	return err == nil && r.status == http.StatusOK
 }
--- a/internal/disp/agents.go
+++ b/internal/disp/agents.go
@@ -204,9 +204,9 @@
 	d.advance(w, a, o, now)
 }
 
-// minTimeoutFactor times the expected service is the time after which a call that is broken
-// off at its deadline counts against the upstream. Without it, a flood with short
-// deadlines ejected the slowest upstream for them.
+// minTimeoutFactor times the expected service is the time after which a call that is
+// broken off at its deadline counts against the upstream. Without it, a flood of
+// requests with short deadlines ejected the slowest upstream.
 const minTimeoutFactor = 3
 
 func (d *Dispatcher) timedOutEarly(a *attempt, o Outcome, now clock.Millis) bool {
--- a/internal/fakes/log.go
+++ b/internal/fakes/log.go
@@ -50,7 +50,6 @@
 	fault     LogFault
 	random    *rand.Rand
 	streams   map[string]*logStream
-	appends   int
 }
 
 type logStream struct {
@@ -90,10 +89,6 @@
 	done  chan<- struct{}
 }
 
-type logCount struct {
-	reply chan<- int
-}
-
 const (
 	// maxRecordBytes bounds one record.
 	maxRecordBytes = 4 << 20
@@ -169,15 +164,6 @@
 	}
 }
 
-// Appends returns the number of records written so far.
-func (l *Log) Appends() int {
-	reply := make(chan int, 1)
-	if !l.do(logCount{reply: reply}) {
-		return 0
-	}
-	return <-reply
-}
-
 func (s *logState) stream(name string) *logStream {
 	st := s.streams[name]
 	if st == nil {
@@ -198,7 +184,6 @@
 	out.lost = s.random.Float64() < s.fault.LostReplies
 	st.records = append(st.records, plog.Record{Offset: st.next, Data: op.data})
 	st.next++
-	s.appends++
 	if extra := len(st.records) - s.retention; extra > 0 {
 		st.records = append([]plog.Record(nil), st.records[extra:]...)
 		st.first = st.records[0].Offset
@@ -229,10 +214,6 @@
 	op.done <- struct{}{}
 }
 
-func (op logCount) apply(s *logState) {
-	op.reply <- s.appends
-}
-
 func (l *Log) append(rw http.ResponseWriter, r *http.Request) {
 	data, err := io.ReadAll(http.MaxBytesReader(rw, r.Body, maxRecordBytes))
 	if err != nil {
--- a/internal/limit/limit.go
+++ b/internal/limit/limit.go
@@ -79,13 +79,6 @@
 	return false, clock.Millis(math.Ceil(wait))
 }
 
-// GiveBack returns the tokens of n tasks that were refused after Take.
-func (l *Limiter) GiveBack(customer string, n int) {
-	if b, ok := l.buckets[customer]; ok {
-		b.Tokens = min(b.Tokens+float64(n), b.Rate.Burst)
-	}
-}
-
 // TakeOthers counts n tasks that other entries started.
 func (l *Limiter) TakeOthers(customer string, n int, now clock.Millis) {
 	b, ok := l.buckets[customer]
--- a/internal/retry/retry.go
+++ b/internal/retry/retry.go
@@ -41,8 +41,3 @@
 	b.saved[customer]--
 	return true
 }
-
-// Saved returns the second attempts in hand.
-func (b *Budgets) Saved(customer string) float64 {
-	return b.saved[customer]
-}
--- a/pkg/cli/contract.go
+++ b/pkg/cli/contract.go
@@ -136,8 +136,7 @@
 }
 
 func (a *app) printDifference(am contr.Amendment, before contr.Document) {
-	if before.Text == am.Text && !before.Deleted {
-		fmt.Fprintf(a.out, "%s: no change (version %d)\n", am.Name, before.Version)
+	if a.unchanged(am, before) {
 		return
 	}
 	fmt.Fprintf(a.out, "%s: from version %d\n", am.Name, before.Version)
@@ -146,6 +145,15 @@
 	}
 }
 
+// unchanged reports, and prints, that the document in force says the same.
+func (a *app) unchanged(am contr.Amendment, before contr.Document) bool {
+	if before.Text != am.Text || before.Deleted {
+		return false
+	}
+	fmt.Fprintf(a.out, "%s: no change (version %d)\n", am.Name, before.Version)
+	return true
+}
+
 func documentOf(config entry.Config, name string) contr.Document {
 	for _, d := range config.Documents {
 		if d.Name == name {
@@ -163,8 +171,7 @@
 	defer client.Close()
 	for _, am := range as {
 		before := documentOf(config, am.Name)
-		if before.Text == am.Text && !before.Deleted {
-			fmt.Fprintf(a.out, "%s: no change (version %d)\n", am.Name, before.Version)
+		if a.unchanged(am, before) {
 			continue
 		}
 		am.Author = o.author
