Answer an operator truthfully when a peer told of the amendment first

The entry had taken the document from a peer over a link before it read its own record, and the record, now behind the book, was answered as refused although it had been accepted.

Change: a record that the book already includes gets the verdict that the book shows; where a later amendment hides it, the operator is told that it is unconfirmed.

Ruled out: two operators; there was one.

Figures: contr.TestAmendmentThatAPeerToldOfFirstKeepsItsVerdict.

Conclusion: accepted is no longer told as refused.

--- a/internal/contr/book.go
+++ b/internal/contr/book.go
@@ -103,6 +103,22 @@
 	return v
 }
 
+// Judged returns the verdict on an amendment that the book already includes, because
+// a peer or a snapshot told its outcome before the record was read. It reports false
+// when a later amendment of the document hides the outcome.
+func (b *Book) Judged(offset int64, a Amendment) (Verdict, bool) {
+	v := Verdict{Amendment: a, Offset: offset}
+	current := b.DocumentVersion(a.Name)
+	if current > offset {
+		return v, false
+	}
+	v.Accepted = current == offset
+	if !v.Accepted {
+		v.Reason = b.raceReason(a, current)
+	}
+	return v, true
+}
+
 func (b *Book) remember(v Verdict) {
 	if len(b.Verdicts) >= maxVerdicts {
 		b.Verdicts = append(b.Verdicts[:0], b.Verdicts[maxVerdicts/2:]...)
--- a/internal/contr/contr_test.go
+++ b/internal/contr/contr_test.go
@@ -114,6 +114,29 @@
 	})
 }
 
+func TestAmendmentThatAPeerToldOfFirstKeepsItsVerdict(t *testing.T) {
+	whole, follower := contr.NewBook(), contr.NewBook()
+	won := contr.Amendment{Author: "ana", Base: contr.NoVersion, Name: "contract/c", Text: text(1, "ab")}
+	lost := contr.Amendment{Author: "bor", Base: contr.NoVersion, Name: "contract/c", Text: text(2, "ab")}
+	require.True(t, whole.Amend(3, won).Accepted)
+	require.False(t, whole.Amend(4, lost).Accepted)
+	require.True(t, whole.Amend(5, contr.Amendment{Base: contr.NoVersion, Name: "upstream/minion-1"}).Accepted)
+	follower.Advance(whole.Version, whole.Sorted())
+
+	v, known := follower.Judged(3, won)
+	require.True(t, known)
+	require.True(t, v.Accepted)
+	v, known = follower.Judged(4, lost)
+	require.True(t, known)
+	require.False(t, v.Accepted)
+	require.NotEmpty(t, v.Reason)
+
+	require.True(t, whole.Amend(6, contr.Amendment{Base: 3, Name: "contract/c", Text: text(3, "ab")}).Accepted)
+	follower.Advance(whole.Version, whole.Since(follower.Version))
+	_, known = follower.Judged(3, won)
+	require.False(t, known, "a later amendment hides the outcome")
+}
+
 func FuzzParse(f *testing.F) {
 	f.Add([]byte(text(1, "ab")))
 	f.Fuzz(func(t *testing.T, data []byte) {
--- a/internal/entry/messages.go
+++ b/internal/entry/messages.go
@@ -209,6 +209,14 @@
 	p.verdict <- amended{verdict: v}
 }
 
+// judged answers the operator whose amendment a peer told of before it was read back.
+// One whose outcome is hidden by a later one stays until it expires as unconfirmed.
+func (e *Entry) judged(offset int64, a contr.Amendment) {
+	if v, known := e.book.Judged(offset, a); known {
+		e.verdict(v)
+	}
+}
+
 func (e *Entry) expireAmendments(now clock.Millis) {
 	for id, p := range e.amendments {
 		if now >= p.until {
--- a/internal/entry/platform.go
+++ b/internal/entry/platform.go
@@ -299,6 +299,10 @@
 func (e *Entry) applyConfig(rec plog.Record, now clock.Millis) []contr.Document {
 	switch b := recordOf(rec).Body.(type) {
 	case *wire.Record_Amendment:
+		if rec.Offset <= e.book.Applied {
+			e.judged(rec.Offset, amendmentOf(b.Amendment))
+			return nil
+		}
 		v := e.book.Amend(rec.Offset, amendmentOf(b.Amendment))
 		e.verdict(v)
 		if v.Accepted {
