Let work wait while a lost link may be replaced

When all links went silent at once, the fleet was empty between their end and the new ones, and requests were refused as no_upstream, or as deadline by a wait worked out over no slots.

Change: for 2 s the slots of a lost upstream count for admission; it is forgotten as soon as its agent is back.

Ruled out: the budget of second attempts; none of the refused was one.

--- a/internal/disp/agents.go
+++ b/internal/disp/agents.go
@@ -1,6 +1,8 @@
 package disp
 
 import (
+	"slices"
+
 	"github.com/turmericbarrow/turmericbarrow/internal/clock"
 	"github.com/turmericbarrow/turmericbarrow/internal/contr"
 	"github.com/turmericbarrow/turmericbarrow/internal/host"
@@ -77,6 +79,7 @@
 func (d *Dispatcher) SetAgent(s AgentState, now clock.Millis) {
 	u := d.Fleet.Get(s.Agent.Incarnation)
 	if u == nil {
+		d.lost = slices.DeleteFunc(d.lost, func(l lostUpstream) bool { return l.agent == s.Agent.Incarnation })
 		d.Fleet.Add(route.Upstream{
 			ID:        s.Agent.Incarnation,
 			Name:      s.Name,
@@ -119,6 +122,9 @@
 
 // AgentGone takes an upstream out. What it had may have run.
 func (d *Dispatcher) AgentGone(agent, why string, now clock.Millis) {
+	if u := d.Fleet.Get(agent); u != nil && u.Health != route.HealthLeaving {
+		d.lost = append(d.lost, lostUpstream{agent: agent, kinds: u.Kinds, slots: min(u.Window, u.Slots), until: now + relinkMS})
+	}
 	d.Fleet.Remove(agent)
 	delete(d.agents, agent)
 	d.Order.SetSlots(d.Fleet.Slots())
@@ -137,6 +143,36 @@
 	d.dispatch(now)
 }
 
+// relinkMS is how long a lost link may take to be replaced. Until then work for its
+// upstream waits: when all links went silent at once, requests were refused in the
+// moment between their end and the new ones.
+const relinkMS = 2 * clock.Second
+
+// lostUpstream is an upstream whose link has ended and may be replaced at once.
+type lostUpstream struct {
+	agent string
+	kinds map[string]bool
+	slots int
+	until clock.Millis
+}
+
+// lostSlots returns the slots for a kind whose links may be replaced at once.
+func (d *Dispatcher) lostSlots(kind string, now clock.Millis) int {
+	n := 0
+	kept := d.lost[:0]
+	for _, l := range d.lost {
+		if now >= l.until {
+			continue
+		}
+		kept = append(kept, l)
+		if l.kinds[kind] {
+			n += l.slots
+		}
+	}
+	d.lost = kept
+	return n
+}
+
 func (d *Dispatcher) attemptsAt(agent string) []Ask {
 	var asks []Ask
 	for ask, a := range d.attempts {
--- a/internal/disp/disp.go
+++ b/internal/disp/disp.go
@@ -146,6 +146,7 @@
 	uses     map[useKey]Use
 	// agents holds what each linked agent last told of its upstream.
 	agents map[string]AgentState
+	lost   []lostUpstream
 }
 
 // New returns a dispatcher.
--- a/internal/disp/disp_test.go
+++ b/internal/disp/disp_test.go
@@ -206,6 +206,25 @@
 	require.Equal(t, reply.RanMaybe, k.problem(job).Ran)
 }
 
+func TestWorkWaitsWhileALostLinkMayBeReplaced(t *testing.T) {
+	k := newHarness(t, "e1").withAgent(agentHost, 8)
+	k.AgentGone("agent1", "silent", k.now)
+	k.take()
+	waits := []disp.Caller{k.submit(k.submission("check", "", 1)), k.submit(k.submission("check", "", 1))}
+	for _, c := range waits {
+		require.NotContains(t, k.answers, c)
+	}
+	k.now += 100
+	k.withAgent(agentHost, 8).take()
+	require.Len(t, k.starts, 2)
+	k.AgentGone("agent1", "gone for good", k.now)
+	k.now += 3000
+	k.Wake(k.now)
+	k.take()
+	refused := k.submit(k.submission("check", "", 1))
+	require.Equal(t, reply.TypeNoUpstream, k.problem(refused).Type)
+}
+
 func TestJobIsWholeOrFailed(t *testing.T) {
 	k := newHarness(t, "e1").withAgent(agentHost, 2)
 	c := k.submit(k.submission("assign", k.Ticket(k.now), 4))
--- a/internal/disp/submit.go
+++ b/internal/disp/submit.go
@@ -94,27 +94,27 @@
 // itself: one heartbeat interval of upstreams.
 const noUpstreamRetryMS clock.Millis = 1000
 
-func (d *Dispatcher) noUpstream(s Submission, _ *contr.Contract, _ clock.Millis) *reply.Problem {
-	if d.Fleet.Serves(s.Kind) {
+func (d *Dispatcher) noUpstream(s Submission, _ *contr.Contract, now clock.Millis) *reply.Problem {
+	if d.Fleet.Serves(s.Kind) || d.lostSlots(s.Kind, now) > 0 {
 		return nil
 	}
 	return &reply.Problem{Type: reply.TypeNoUpstream, RetryAfter: noUpstreamRetryMS,
 		Detail: "no upstream serves kind " + s.Kind + " at present"}
 }
 
-func (d *Dispatcher) queueFull(s Submission, c *contr.Contract, _ clock.Millis) *reply.Problem {
+func (d *Dispatcher) queueFull(s Submission, c *contr.Contract, now clock.Millis) *reply.Problem {
 	waiting := d.Order.Waiting(s.Customer)
 	if waiting+len(s.Tasks) <= c.Queue {
 		return nil
 	}
 	return &reply.Problem{Type: reply.TypeQueueFull, Line: "queue",
 		Detail:     fmt.Sprintf("%d tasks of this customer wait, and the contract allows %d", waiting, c.Queue),
-		RetryAfter: d.expectedWait(s)}
+		RetryAfter: d.expectedWait(s, now)}
 }
 
 // tooLate refuses at once what would miss its deadline in line.
 func (d *Dispatcher) tooLate(s Submission, c *contr.Contract, now clock.Millis) *reply.Problem {
-	wait := d.expectedWait(s)
+	wait := d.expectedWait(s, now)
 	if now+wait+d.expectedService(s.Kind) <= s.Deadline {
 		return nil
 	}
@@ -127,13 +127,13 @@
 }
 
 // expectedWait returns how long the last task of s would stand in line.
-func (d *Dispatcher) expectedWait(s Submission) clock.Millis {
+func (d *Dispatcher) expectedWait(s Submission, now clock.Millis) clock.Millis {
 	f := fair.Flow{Customer: s.Customer, Kind: s.Kind}
 	ahead := d.Order.WaitingOf(f) + len(s.Tasks) - 1
 	if ahead == 0 {
 		return 0
 	}
-	slots := float64(d.Fleet.Share()) * d.Order.ExpectedShare(f)
+	slots := float64(d.Fleet.Share()+d.lostSlots(s.Kind, now)) * d.Order.ExpectedShare(f)
 	return clock.Millis(float64(ahead) * d.Fleet.Cost(s.Kind) / max(slots, 0.01))
 }
 
--- a/internal/disp/work.go
+++ b/internal/disp/work.go
@@ -186,7 +186,7 @@
 
 // expired ends a work of which a task can no longer be started in time.
 func (d *Dispatcher) expired(w *work, now clock.Millis) {
-	p := d.deadlineProblem(w)
+	p := d.deadlineProblem(w, now)
 	p.Detail = "the deadline can no longer be met"
 	d.end(w, reply.Answer{Request: w.sub.Request, Problem: &p}, now)
 }
@@ -295,7 +295,7 @@
 // deadline ends a work whose time is over.
 func (d *Dispatcher) deadline(w *work, now clock.Millis) {
 	w.timer = nil
-	p := d.deadlineProblem(w)
+	p := d.deadlineProblem(w, now)
 	if w.keyed && !w.sub.Job && p.Ran == reply.RanMaybe {
 		d.answerLate(w, p, now)
 		return
@@ -303,11 +303,11 @@
 	d.end(w, reply.Answer{Request: w.sub.Request, Problem: &p}, now)
 }
 
-func (d *Dispatcher) deadlineProblem(w *work) reply.Problem {
+func (d *Dispatcher) deadlineProblem(w *work, now clock.Millis) reply.Problem {
 	p := reply.Problem{Type: reply.TypeDeadline, Ran: w.ran(), Version: w.version,
 		Detail: "the deadline passed"}
 	if p.Ran == reply.RanNo {
-		p.RetryAfter = max(1, d.expectedWait(w.sub))
+		p.RetryAfter = max(1, d.expectedWait(w.sub, now))
 		p.Line = "share"
 	}
 	return p
