Repeat a worker's unanswered calls after 20 ms

Cause: a worker that leaves one call in ten unanswered cost far more than a tenth. An unanswered start waited 100 ms, was then stopped and given back, and its task placed again after 200 ms; an unanswered look hid all ends for 240 ms. More than half of the jobs of eight tasks met one of the two and ended late.

Ruled out: the entry's patience and placement.

Change: starts are idempotent (the worker answers 200 for a run that it has, and refuses one that has ended), so an unanswered one is sent again, up to three times, before the run is given back; a refusal after an unanswered start leaves the run unsure. Looks wait 20 ms for an end instead of 60 (idle: 250 instead of 1,000), and a call may take 20 ms, doubled with each one in a row without an answer. A worker counts as out of reach after four failed looks over half a second, as before in time. Starts name the worker they are meant for, and its life is the fencing token, so that a late order can't start anything in its next life.

--- a/internal/room/looks.go
+++ b/internal/room/looks.go
@@ -32,21 +32,43 @@
 	case StartOK:
 		run.Status = Running
 	case StartUnanswered:
-		// Its lease would settle it as well, but a stop does so at once.
-		run.Status = Unsure
-		run.Stopping = true
-	case StartUnhealthy:
-		r.blame(name.Job, now)
-		r.end(run, jobs.EndNotRun, 0, true, now)
+		run.Unanswered++
+		if run.Unanswered < maxUnanswered && !run.Stopping {
+			r.startAgain(run, now)
+			return
+		}
+		r.unsure(run)
 	default:
-		r.end(run, jobs.EndNotRun, 0, false, now)
+		if a == StartUnhealthy {
+			r.blame(name.Job, now)
+		}
+		if run.Unanswered == 0 {
+			r.end(run, jobs.EndNotRun, 0, a == StartUnhealthy, now)
+			break
+		}
+		// An earlier start may have been carried out, or may still be.
+		r.unsure(run)
 	}
-	if run.Stopping && (a == StartOK || a == StartUnanswered) {
+	if run.Stopping && run.Status > Starting {
 		r.sendStop(run, now)
 	}
 	r.pump(now)
 }
 
+// startAgain repeats a start. The worker takes a run that it has for started, and
+// refuses one that has ended, so a start is idempotent.
+func (r *Room) startAgain(run *Run, now clock.Millis) {
+	run.StartedAt = now
+	r.actions = append(r.actions, Start{Run: *run})
+}
+
+// unsure marks a run that the worker may have. Its lease would settle it as well, but
+// a stop does so at once.
+func (r *Room) unsure(run *Run) {
+	run.Status = Unsure
+	run.Stopping = true
+}
+
 // StopAnswered notes that the worker took a stop.
 func (r *Room) StopAnswered(name jobs.Name, entry string, number int64, now clock.Millis) {
 	run := r.runs[key{name, entry}]
@@ -183,8 +205,11 @@
 
 // LookFailed notes a look without an answer.
 func (r *Room) LookFailed(lease, now clock.Millis) {
+	if r.misses == 0 {
+		r.missedAt = now
+	}
 	r.misses++
-	if r.misses < looksToRenew {
+	if !r.silent(now) {
 		return
 	}
 	if !r.Unreachable {
@@ -205,9 +230,19 @@
 
 // Renews reports whether a look at now extends the worker's leases.
 func (r *Room) Renews(now clock.Millis) bool {
-	if r.misses >= looksToRenew {
+	if r.silent(now) {
 		return false
 	}
 	r.renewed = now
 	return true
 }
+
+// silent reports whether so many looks failed that the worker is out of reach.
+func (r *Room) silent(now clock.Millis) bool {
+	return r.misses >= looksToRenew && now-r.missedAt >= silentMS
+}
+
+// LooksMissed returns the number of looks in a row that failed.
+func (r *Room) LooksMissed() int {
+	return r.misses
+}
--- a/internal/room/room.go
+++ b/internal/room/room.go
@@ -61,8 +61,11 @@
 	StopDoneAt clock.Millis
 	QueuedAt   clock.Millis
 	StartedAt  clock.Millis
-	// LeaseUntil is the end of the start's own lease, on the worker's clock.
+	// LeaseUntil is the end of the start's own lease, on the worker's clock; with
+	// several starts, of the last one.
 	LeaseUntil clock.Millis
+	// Unanswered counts the starts of this run that got no answer.
+	Unanswered int
 	// MissingSince is when a look at the worker first lacked a running run.
 	MissingSince clock.Millis
 }
@@ -131,6 +134,8 @@
 	backoff  clock.Millis
 	endedAt  clock.Millis
 	misses   int
+	// missedAt is when the first of the failed looks in a row was noticed.
+	missedAt clock.Millis
 	renewed  clock.Millis
 	lookedAt clock.Millis
 	// quick is the quick mean of the speed's logarithm.
@@ -153,8 +158,11 @@
 	StartLeaseMS clock.Millis = 600
 	// recentMS is how long ends are repeated to an entry whose link was replaced.
 	recentMS clock.Millis = 5000
+	// maxUnanswered is the number of starts without an answer after which the run is
+	// given back: a worker that is well answers one of them.
+	maxUnanswered = 3
 	// stopAgainMS is the interval at which an unconfirmed stop is repeated.
-	stopAgainMS clock.Millis = 120
+	stopAgainMS clock.Millis = 60
 	// missingMS is how long looks may lack a run before it counts as lost.
 	missingMS clock.Millis = 1500
 	// OrphanMS is how long runs go on for an entry that was not heard of; with the
@@ -183,9 +191,10 @@
 	// longer than its caller thinks.
 	overdueJobs              = 3
 	quietMS     clock.Millis = 150
-	// looksToRenew is the number of failed looks after which leases are no longer
-	// renewed, so that it is known when they lapse.
-	looksToRenew = 4
+	// looksToRenew failed looks in a row, over silentMS at least, show a worker out of
+	// reach: its leases are no longer renewed, so that it is known when they lapse.
+	looksToRenew              = 4
+	silentMS     clock.Millis = 500
 	// clockDrift is how much slower the worker's clock may run.
 	clockDrift = 1.03
 	lapseMS    = clock.Millis(100)
--- a/internal/runner/calls.go
+++ b/internal/runner/calls.go
@@ -63,14 +63,24 @@
 	until := a.clock.Now() + a.offset + room.StartLeaseMS
 	a.room.Sent(r.Name, r.Entry, until)
 	a.calls++
+	w := *a.room.Worker
 	go func() {
-		ctx, stop := context.WithTimeout(ctx, orderMS.Duration())
+		ctx, stop := context.WithTimeout(ctx, callTimeout(r.Unanswered).Duration())
 		defer stop()
-		answer, workerClock := a.worker.Start(ctx, r, until)
+		answer, workerClock := a.worker.Start(ctx, w, r, until)
 		a.started <- startResult{run: r, answer: answer, clockMS: workerClock}
 	}()
 }
 
+// callTimeout returns how long a call may take after so many that got no answer.
+func callTimeout(unanswered int) clock.Millis {
+	t := callMS
+	for range unanswered {
+		t = min(2*t, maxCallMS)
+	}
+	return t
+}
+
 func (a *Agent) onStarted(r startResult) {
 	a.calls--
 	a.setOffset(r.clockMS)
@@ -84,10 +94,11 @@
 
 func (a *Agent) stopRun(ctx context.Context, r room.Run) {
 	a.calls++
+	w := *a.room.Worker
 	go func() {
-		ctx, stop := context.WithTimeout(ctx, orderMS.Duration())
+		ctx, stop := context.WithTimeout(ctx, maxCallMS.Duration())
 		defer stop()
-		a.stopped <- stopResult{run: r, err: a.worker.Stop(ctx, r.Name, r.Number)}
+		a.stopped <- stopResult{run: r, err: a.worker.Stop(ctx, w, r.Name, r.Number)}
 	}()
 }
 
@@ -108,9 +119,9 @@
 	if a.looking || a.room.Worker == nil || now < a.lookAt {
 		return
 	}
-	wait, slack := lookWaitMS, lookSlackMS
+	wait, slack := lookWaitMS, callTimeout(a.room.LooksMissed())
 	if a.room.AtWorker() == 0 {
-		wait, slack = idleLookMS, idleSlackMS
+		wait = idleLookMS
 	}
 	until := clock.Millis(0)
 	if a.offsetSet && a.room.Renews(now) {
@@ -118,10 +129,11 @@
 	}
 	a.looking = true
 	a.calls++
+	w := *a.room.Worker
 	go func() {
 		ctx, stop := context.WithTimeout(ctx, (wait + slack).Duration())
 		defer stop()
-		l, err := a.worker.Look(ctx, until, wait)
+		l, err := a.worker.Look(ctx, w, until, wait)
 		l.AskedAt = now
 		a.looked <- lookResult{look: l, err: err}
 	}()
@@ -134,7 +146,7 @@
 	a.metrics.looked(r.err == nil)
 	if r.err != nil {
 		was := a.room.Unreachable
-		a.lookAt = now + lookAgainMS
+		a.lookAt = now + callTimeout(a.room.LooksMissed()) - callMS
 		a.room.LookFailed(a.settings.LeaseMS, now)
 		if a.room.Unreachable && !was {
 			a.log.Warn("worker lost", "worker", a.room.Worker.ID, "error", r.err.Error())
@@ -148,9 +160,6 @@
 	a.room.Looked(r.look, now)
 }
 
-// lookAgainMS paces looks that fail.
-const lookAgainMS clock.Millis = 100
-
 // setOffset follows the worker's clock, which may be slow against this host's.
 func (a *Agent) setOffset(workerClock clock.Millis) {
 	if workerClock > 0 {
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -21,14 +21,15 @@
 
 // Worker is the back end beside the agent.
 type Worker interface {
-	// Start asks for a run whose lease ends at a time of the worker's clock.
-	Start(ctx context.Context, r room.Run, leaseUntil clock.Millis) (room.StartAnswer, clock.Millis)
+	// Start asks a worker, which may have been replaced meanwhile, for a run whose
+	// lease ends at a time of the worker's clock. It is idempotent.
+	Start(ctx context.Context, w room.Worker, r room.Run, leaseUntil clock.Millis) (room.StartAnswer, clock.Millis)
 	// Stop asks for the end of a run.
-	Stop(ctx context.Context, name jobs.Name, number int64) error
+	Stop(ctx context.Context, w room.Worker, name jobs.Name, number int64) error
 	// Look renews the leases up to a time of the worker's clock, unless that is
 	// zero, forgets the ends that were told before, and returns what runs and what
 	// has ended; it waits for an end.
-	Look(ctx context.Context, leaseUntil, wait clock.Millis) (room.Look, error)
+	Look(ctx context.Context, w room.Worker, leaseUntil, wait clock.Millis) (room.Look, error)
 }
 
 // Clock tells the time.
@@ -79,15 +80,15 @@
 	inboxSize = 256
 	// pauseLimitMS is the longest standstill that others can't have noticed.
 	pauseLimitMS clock.Millis = 300
-	// lookWaitMS and idleLookMS are how long a look waits for an end, lookSlackMS
-	// and idleSlackMS what it may take beyond that. While tasks run both are short: a
+	// lookWaitMS and idleLookMS are how long a look waits for an end. Both are short: a
 	// worker may leave any call unanswered, and no end is seen until the next one.
-	lookWaitMS  clock.Millis = 60
-	lookSlackMS clock.Millis = 80
-	idleLookMS  clock.Millis = 1000
-	idleSlackMS clock.Millis = 400
-	// orderMS is how long a start or a stop may take.
-	orderMS clock.Millis = 100
+	lookWaitMS clock.Millis = 20
+	idleLookMS clock.Millis = 250
+	// callMS is how long a call on the worker's own host may take, doubled with each
+	// one in a row that got no answer up to maxCallMS: what is lost is repeated soon,
+	// and a slow worker is given its time.
+	callMS    clock.Millis = 20
+	maxCallMS clock.Millis = 100
 	// membersAloneMS is how often the store is asked for entries while there is no
 	// link, membersEveryMS otherwise.
 	membersAloneMS clock.Millis = 1000
