Give up first handshakes after 300 ms

Cause: after a loss of power everywhere agents are up 300 ms before entries, and a handshake's packets go to a port that nobody listens on. QUIC sends them again after 0.2, 0.6 and 1.4 s, so half of the links came up 0.3 to 0.5 s after the entry.

Change: the first attempt to reach a peer may bring nothing for 300 ms, each later one twice as long, 2 s at most.

--- a/internal/link/node.go
+++ b/internal/link/node.go
@@ -28,11 +28,15 @@
 }
 
 const (
-	eventBuffer     = 1024
-	acceptBuffer    = 16
-	dialTimeout     = 2 * time.Second
-	maxRedialMS     = clock.Millis(1000)
-	closeOnShutdown = "shutting down"
+	eventBuffer  = 1024
+	acceptBuffer = 16
+	// A peer that starts a moment after this host does not see the packets sent before;
+	// a new attempt reaches it sooner than their retransmission, which slows down.
+	firstHandshake     = 300 * time.Millisecond
+	maxHandshake       = 2 * time.Second
+	handshakeDoublings = 3
+	maxRedialMS        = clock.Millis(1000)
+	closeOnShutdown    = "shutting down"
 	// packetBytes fits a path of 1,500 bytes with all headers.
 	packetBytes = 1350
 )
@@ -177,10 +181,16 @@
 	}
 }
 
-func (n *Node) quicConfig() *quic.Config {
+// handshakeTimeout returns how long an attempt may bring nothing, after so many that
+// failed.
+func handshakeTimeout(failures int) time.Duration {
+	return min(firstHandshake<<min(failures, handshakeDoublings), maxHandshake)
+}
+
+func (n *Node) quicConfig(handshake time.Duration) *quic.Config {
 	return &quic.Config{
 		MaxIdleTimeout:                 n.settings.Silence.Duration(),
-		HandshakeIdleTimeout:           dialTimeout,
+		HandshakeIdleTimeout:           handshake,
 		InitialStreamReceiveWindow:     streamWindow,
 		MaxStreamReceiveWindow:         maxStreamWindow,
 		InitialConnectionReceiveWindow: streamWindow,
@@ -198,7 +208,7 @@
 	t := &quic.Transport{Conn: n.socket}
 	defer n.socket.Close()
 	defer t.Close()
-	l, err := t.Listen(n.settings.TLS, n.quicConfig())
+	l, err := t.Listen(n.settings.TLS, n.quicConfig(maxHandshake))
 	if err != nil {
 		n.log.Error("links not accepted", "address", n.settings.Listen, "error", err.Error())
 		return
@@ -262,7 +272,7 @@
 	defer func() { ends <- struct{}{} }()
 	back := retry.Backoff{}
 	for ctx.Err() == nil {
-		if n.dialOnce(ctx, address) {
+		if n.dialOnce(ctx, address, handshakeTimeout(back.Failures)) {
 			back.Reset()
 		}
 		clock.Wait(ctx, min(back.Next(), maxRedialMS))
@@ -271,7 +281,7 @@
 
 // dialOnce runs one link from a socket of its own: after something between the
 // ends has lost track of the old flow, only a new port gets through.
-func (n *Node) dialOnce(ctx context.Context, address string) bool {
+func (n *Node) dialOnce(ctx context.Context, address string, handshake time.Duration) bool {
 	addr, err := net.ResolveUDPAddr("udp", address)
 	if err != nil {
 		n.log.Error("address not understood", "peer", address, "error", err.Error())
@@ -285,7 +295,7 @@
 	defer socket.Close()
 	t := &quic.Transport{Conn: socket}
 	defer t.Close()
-	conn, err := t.Dial(ctx, addr, n.settings.TLS, n.quicConfig())
+	conn, err := t.Dial(ctx, addr, n.settings.TLS, n.quicConfig(handshake))
 	if err != nil {
 		n.log.Debug("dial failed", "peer", address, "error", err.Error())
 		return false
