--- a/internal/place/pump.go
+++ b/internal/place/pump.go
@@ -48,8 +48,11 @@
 }
 
 // findOpen keeps the workers that have any room, in a fixed order; it reports whether
-// there are some.
+// there are some, and jobs that wait for them.
 func (s *Scheduler) findOpen() bool {
+	if len(s.waiting) == 0 {
+		return false
+	}
 	s.open = s.open[:0]
 	for _, w := range s.Workers {
 		if w.hasRoom() {
@@ -57,7 +60,7 @@
 		}
 	}
 	sort.Slice(s.open, func(a, b int) bool { return s.open[a].Agent < s.open[b].Agent })
-	return len(s.open) > 0 && len(s.waiting) > 0
+	return len(s.open) > 0
 }
 
 // missed reports whether the job has waited so long that it probably ends late.
--- a/internal/room/room.go
+++ b/internal/room/room.go
@@ -5,6 +5,7 @@
 package room
 
 import (
+	"slices"
 	"sort"
 
 	"github.com/turmericbarrow/turmericbarrow/internal/clock"
@@ -23,6 +24,12 @@
 	Draining bool
 }
 
+// Same reports whether o is the same worker with the same room.
+func (w Worker) Same(o Worker) bool {
+	return w.ID == o.ID && w.Life == o.Life && w.Fleet == o.Fleet && w.Capacity == o.Capacity &&
+		slices.Equal(w.Labels, o.Labels)
+}
+
 // Status is how far a run has come.
 type Status int
 
--- a/internal/runner/calls.go
+++ b/internal/runner/calls.go
@@ -172,10 +172,10 @@
 	now := a.clock.Now()
 	if w := a.room.Worker; w != nil {
 		trial, none := a.room.OnTrial(now)
-		m.Worker = w.ID
-		m.Fleet = w.Fleet
-		m.Labels = w.Labels
-		m.Capacity = link.SizeOf(w.Capacity)
+		if l.told == nil || !l.told.Same(*w) {
+			m.Worker = &wire.RoomWorker{Id: w.ID, Fleet: w.Fleet, Labels: w.Labels, Capacity: link.SizeOf(w.Capacity)}
+			l.told = w
+		}
 		m.Free = link.SizeOf(a.room.Free())
 		m.Speed = a.room.Speed
 		m.Closed = a.room.Closed || w.Draining || a.room.Unreachable
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -96,7 +96,7 @@
 	// roomEveryMS, times the square of the number of links, paces reports of a changed
 	// room to entries that had no part in the change, so that with more links an agent
 	// sends fewer frames in all.
-	roomEveryMS clock.Millis = 1
+	roomEveryMS clock.Millis = 2
 )
 
 // Agent is one running agent for sized tasks.
@@ -138,6 +138,8 @@
 	link *link.Link
 	// seenLaunch is the number of the newest launch that came over it.
 	seenLaunch uint64
+	// told is the worker that the entry was told of last.
+	told *room.Worker
 }
 
 // New returns an agent.
--- a/internal/sched/links.go
+++ b/internal/sched/links.go
@@ -121,7 +121,7 @@
 	}
 	switch b := f.Body.(type) {
 	case *wire.Frame_Room:
-		e.core.SetWorker(reportOf(l.Peer, b.Room), now)
+		e.core.SetWorker(e.reportOf(l.Peer, b.Room), now)
 	case *wire.Frame_Ends:
 		e.takeEnds(inc, b.Ends.GetEnds(), now)
 	}
@@ -215,21 +215,24 @@
 	return &wire.Frame{Body: &wire.Frame_Roster{Roster: m}}
 }
 
-func reportOf(h host.Host, m *wire.Room) place.Report {
-	return place.Report{SeenLaunch: m.GetSeenLaunch(), Worker: place.Worker{
+// reportOf decodes a report, which leaves the worker out while it is the same.
+func (e *Entry) reportOf(h host.Host, m *wire.Room) place.Report {
+	w := place.Worker{
 		Agent:    h.Incarnation,
 		Zone:     h.Place.Zone,
-		ID:       m.GetWorker(),
-		Fleet:    m.GetFleet(),
-		Labels:   m.GetLabels(),
-		Capacity: link.SizeFrom(m.GetCapacity()),
 		Reported: link.SizeFrom(m.GetFree()),
 		Speed:    max(m.GetSpeed(), minSpeed),
-		Closed:   m.GetClosed() || m.GetWorker() == "",
 		Trial:    m.GetTrial(),
 		Stalled:  m.GetStalled(),
 		Resting:  m.GetResting(),
-	}}
+	}
+	if told := m.GetWorker(); told != nil {
+		w.ID, w.Fleet, w.Labels, w.Capacity = told.GetId(), told.GetFleet(), told.GetLabels(), link.SizeFrom(told.GetCapacity())
+	} else if old := e.core.Workers[w.Agent]; old != nil {
+		w.ID, w.Fleet, w.Labels, w.Capacity = old.ID, old.Fleet, old.Labels, old.Capacity
+	}
+	w.Closed = m.GetClosed() || w.ID == ""
+	return place.Report{SeenLaunch: m.GetSeenLaunch(), Worker: w}
 }
 
 // minSpeed keeps predictions finite.
--- a/internal/sched/sched_test.go
+++ b/internal/sched/sched_test.go
@@ -13,6 +13,7 @@
 	"github.com/turmericbarrow/turmericbarrow/internal/clock"
 	"github.com/turmericbarrow/turmericbarrow/internal/contr"
 	"github.com/turmericbarrow/turmericbarrow/internal/host"
+	"github.com/turmericbarrow/turmericbarrow/internal/wire"
 )
 
 // list counts the renewals of the entry's record.
@@ -51,3 +52,21 @@
 		require.LessOrEqual(t, len(l.joins), 6, "one write in 20 s, also while no peer is linked")
 	})
 }
+
+// Most reports leave the worker out, since it is the same.
+func TestReportWithoutAWorkerIsAboutTheSameOne(t *testing.T) {
+	self := host.Host{Name: "e", Incarnation: host.NewIncarnation(), Role: host.RoleEntry}
+	e := New(Settings{Self: self}, clock.New(), noTerms{}, list{}, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	agent := host.Host{Name: "a", Incarnation: "i", Role: host.RoleAgent}
+	free := &wire.Size{MilliCpu: 500}
+	unknown := e.reportOf(agent, &wire.Room{Free: free})
+	require.True(t, unknown.Worker.Closed, "no worker was told of")
+	first := e.reportOf(agent, &wire.Room{Free: free, Worker: &wire.RoomWorker{Id: "w", Fleet: "f",
+		Labels: []string{"l"}, Capacity: &wire.Size{MilliCpu: 4000}}})
+	e.core.SetWorker(first, 0)
+	second := e.reportOf(agent, &wire.Room{Free: free, Speed: 2})
+	require.Equal(t, first.Worker.Capacity, second.Worker.Capacity)
+	require.Equal(t, "w", second.Worker.ID)
+	require.Equal(t, []string{"l"}, second.Worker.Labels)
+	require.False(t, second.Worker.Closed)
+}
