Take over what a worker runs after its agent was killed

Cause: an agent that started again knew its worker only from the next heartbeat, up to 1.5 s later, stopped all that the worker still ran, and dropped the ends that it had not told. Its entries ran everything again after 1.5 s, when most callers had gone.

Ruled out: asking the worker alone. It tells what it runs, but neither its capacity nor its fleet.

Change: the agent keeps what the worker said of itself as a record on the store, reads it when it starts, and confirms the worker's life by a look. It tells its entries what it found; an entry that waits for such a run claims it under the same run number. Unclaimed runs are stopped after 500 ms.

--- a/internal/place/events.go
+++ b/internal/place/events.go
@@ -60,8 +60,43 @@
 	}
 }
 
+// AgentReplaced notes that a new process stands beside a worker: the one before it on
+// that host is gone. Its runs may go on at the worker.
+func (s *Scheduler) AgentReplaced(agent, host string, now clock.Millis) {
+	gone := map[string]bool{}
+	for inc, w := range s.Workers {
+		if w.Host == host && inc != agent {
+			s.AgentLost(inc, now)
+			gone[inc] = true
+		}
+	}
+	if len(gone) == 0 {
+		return
+	}
+	if s.Workers[agent] == nil {
+		s.Workers[agent] = &Worker{Agent: agent, Host: host, Closed: true, Speed: 1}
+	}
+	for _, j := range s.Jobs {
+		for _, t := range j.Tasks {
+			if t.State == TaskUnsure && gone[t.Agent] {
+				t.Agent, t.Replaced = agent, true
+			}
+		}
+	}
+}
+
+// claim asks the new process beside a worker to go on with a run that it found.
+func (s *Scheduler) claim(j *Job, t *Task, agent string) {
+	w := s.Workers[agent]
+	l := s.newLaunch(j, launchKey{agent, t.ID.Step}, w)
+	l.Tasks = []LaunchTask{{ID: t.ID, Run: t.Run}}
+	w.unseen = append(w.unseen, unseen{number: l.Number, size: l.Size})
+	t.State, t.Replaced = TaskSent, false
+	s.actions = append(s.actions, *l)
+}
+
 // AgentBack takes what an agent holds for this entry, over a new link. What it does
-// not hold was never received.
+// not hold was never received, unless an earlier process beside the worker got it.
 func (s *Scheduler) AgentBack(agent string, held map[jobs.Name]int64, now clock.Millis) {
 	if w := s.Workers[agent]; w != nil {
 		w.Lost = 0
@@ -72,7 +107,14 @@
 			if t.Agent != agent || (t.State != TaskUnsure && t.State != TaskSent) {
 				continue
 			}
-			if held[jobs.Name{Job: j.Spec.ID, Task: t.ID}] == t.Run {
+			holds := held[jobs.Name{Job: j.Spec.ID, Task: t.ID}] == t.Run
+			if t.Replaced {
+				if holds && !j.Ending {
+					s.claim(j, t, agent)
+				}
+				continue // or it settles
+			}
+			if holds {
 				t.State = TaskSent
 				t.Halting = false
 				continue
@@ -153,7 +195,7 @@
 	agent := t.Agent
 	t.State = TaskWaiting
 	t.Agent = ""
-	t.Halting = false
+	t.Halting, t.Replaced = false, false
 	if j.Ending {
 		s.forgetIfOver(j)
 		return
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -17,8 +17,9 @@
 
 // Worker is a worker as this entry knows it.
 type Worker struct {
-	// Agent is the incarnation of its agent.
+	// Agent is the incarnation of its agent, Host the name of the host of both.
 	Agent string
+	Host  string
 	// Zone is where it stands.
 	Zone     string
 	ID       string
@@ -133,6 +134,9 @@
 	DueBackMS clock.Millis
 	// Settles is when a run out of reach is known to have ended.
 	Settles clock.Millis
+	// Replaced is set once its agent was replaced by a new process, which may find
+	// the run at the worker.
+	Replaced bool
 	// Halting is set once its agent was asked to stop it.
 	Halting bool
 	// Halted is set once a run that stood still was stopped: a task that only takes
--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -321,3 +321,55 @@
 	require.Len(t, as, 1)
 	require.Equal(t, VerdictUnknown, as[0].Verdict, "a task of it has run")
 }
+
+// taken submits a job of two tasks to a worker of a host, and loses its agent.
+func taken(t *testing.T) (*Scheduler, Launch) {
+	w := worker("old", 4, 1)
+	w.Host = "h"
+	s := scheduler(w)
+	s.Submit(job("a", 2, 100), 0)
+	return s, launches(s)[0]
+}
+
+func nameOf(l Launch, i int) jobs.Name { return jobs.Name{Job: l.Job, Task: l.Tasks[i].ID} }
+
+// An agent that was killed starts again within the lease of what its worker runs.
+func TestRunsGoOnUnderTheNextAgentOfTheirHost(t *testing.T) {
+	s, l := taken(t)
+	s.AgentReplaced("new", "h", 500)
+	s.Ended("new", nameOf(l, 1), l.Tasks[1].Run, jobs.EndDone, 0, 500)
+	s.AgentBack("new", map[jobs.Name]int64{nameOf(l, 0): l.Tasks[0].Run}, 500)
+	claims := launches(s)
+	require.Len(t, claims, 1)
+	require.Equal(t, "new", claims[0].Agent)
+	require.Equal(t, []LaunchTask{l.Tasks[0]}, claims[0].Tasks, "the same run, not the next")
+	s.Ended("new", nameOf(l, 0), l.Tasks[0].Run, jobs.EndDone, 0, 600)
+	require.Equal(t, VerdictSucceeded, answers(s)[0].Verdict)
+}
+
+// What the new agent does not find may still be carried out, until its lease has passed.
+func TestRunsThatTheNextAgentDoesNotFindSettle(t *testing.T) {
+	s, _ := taken(t)
+	s.AgentReplaced("new", "h", 500)
+	s.AgentBack("new", nil, 500)
+	w := worker("new", 4, 1)
+	w.Host = "h"
+	s.SetWorker(Report{Worker: w}, 510)
+	for _, j := range s.Jobs {
+		j.Objective = 10_000 // so that it is not given up
+	}
+	s.Tick(500 + settleMS - 1)
+	require.Empty(t, launches(s))
+	s.Tick(501 + settleMS)
+	again := launches(s)
+	require.Len(t, again, 1)
+	require.Greater(t, again[0].Tasks[0].Run, int64(1))
+}
+
+func TestLinkLostToAnAgentThatGoesOnReplacesNothing(t *testing.T) {
+	s, l := taken(t)
+	s.AgentReplaced("old", "h", 100)
+	require.Zero(t, s.Workers["old"].Lost)
+	s.Ended("old", nameOf(l, 0), 1, jobs.EndDone, 50, 100)
+	require.Equal(t, TaskDone, s.Jobs["a"].Tasks[0].State)
+}
--- /dev/null
+++ b/internal/room/found.go
@@ -0,0 +1,125 @@
+package room
+
+import (
+	"sort"
+
+	"github.com/turmericbarrow/turmericbarrow/internal/clock"
+	"github.com/turmericbarrow/turmericbarrow/internal/jobs"
+)
+
+// foundRun is a run that an earlier process beside the worker started, and that no
+// entry has claimed yet.
+type foundRun struct {
+	// Over is set once the run has ended.
+	Over bool
+	End  jobs.End
+}
+
+// claimMS is how long entries may claim what an earlier process started. It is above
+// the time that a new process needs to be linked to its entries.
+const claimMS clock.Millis = 500
+
+// Restore takes the worker from a record of an earlier process beside it. It takes
+// nothing until a look has shown that the worker's life is still the same; what it
+// runs then is held for the entries that asked for it.
+func (r *Room) Restore(w Worker) {
+	if r.Worker != nil {
+		return
+	}
+	r.Worker = &w
+	r.restored = true
+}
+
+// Confirmed reports whether the worker is known to be the one that Worker names.
+func (r *Room) Confirmed() bool {
+	return r.Worker != nil && !r.restored
+}
+
+// confirm takes the first look at a restored worker; it reports whether the look can
+// be used.
+func (r *Room) confirm(l Look, now clock.Millis) bool {
+	if !r.restored {
+		return true
+	}
+	r.restored = false
+	r.Urgent = true
+	if l.Life != r.Worker.Life {
+		r.Worker = nil
+		return false
+	}
+	r.claimUntil = now + claimMS
+	return true
+}
+
+// keepFound remembers what a look lists of an earlier process.
+func (r *Room) keepFound(l Look) {
+	for _, s := range l.Running {
+		if r.find(s.Name, s.Number) == nil {
+			r.found[s] = foundRun{}
+		}
+	}
+	for _, e := range l.Ended {
+		if r.find(e.Name, e.Number) == nil {
+			r.found[Seen{e.Name, e.Number}] = foundRun{Over: true, End: e.End}
+		}
+	}
+}
+
+// Found returns what an earlier process left: the runs that go on, and the ends.
+func (r *Room) Found() (running []Seen, ended []SeenEnd) {
+	for s, f := range r.found {
+		if f.Over {
+			ended = append(ended, SeenEnd{s.Name, s.Number, f.End})
+		} else {
+			running = append(running, s)
+		}
+	}
+	sort.Slice(running, func(i, j int) bool { return nameBefore(running[i].Name, running[j].Name) })
+	sort.Slice(ended, func(i, j int) bool { return nameBefore(ended[i].Name, ended[j].Name) })
+	return running, ended
+}
+
+// claim makes a run of an earlier process one of this room's; it reports whether there
+// is such a run.
+func (r *Room) claim(run Run, now clock.Millis) bool {
+	s := Seen{run.Name, run.Number}
+	f, ok := r.found[s]
+	if !ok {
+		return false
+	}
+	delete(r.found, s)
+	run.Status = Running
+	run.StartedAt = now
+	run.Claimed = true
+	r.runs[key{run.Name, run.Entry}] = &run
+	r.used = r.used.Plus(run.Size)
+	if f.Over {
+		r.end(&run, f.End, 0, false, now)
+	}
+	return true
+}
+
+// endClaims stops what nobody claimed in time.
+func (r *Room) endClaims(now clock.Millis) {
+	if r.claimUntil == 0 || now < r.claimUntil {
+		return
+	}
+	r.claimUntil = 0
+	running, _ := r.Found()
+	for _, s := range running {
+		r.actions = append(r.actions, Stop{Run: Run{Name: s.Name, Number: s.Number}})
+	}
+	r.found = map[Seen]foundRun{}
+	r.Urgent = true
+}
+
+// claiming reports whether runs of an earlier process wait to be claimed; how much
+// room they take is not known until then.
+func (r *Room) claiming() bool {
+	for _, f := range r.found {
+		if !f.Over {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/room/found_test.go
@@ -0,0 +1,96 @@
+package room
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/turmericbarrow/turmericbarrow/internal/jobs"
+)
+
+var aWorker = Worker{ID: "w", Life: 1, Fleet: "f", Capacity: jobs.Size{MilliCPU: 4000, MemoryMB: 1000}}
+
+// restored returns a room that knows its worker from a record, and that found a run
+// at work and one that has ended.
+func restored() *Room {
+	r := New()
+	r.Restore(aWorker)
+	r.Looked(Look{ClockMS: 5, AskedAt: 1, Life: 1, Running: []Seen{{name("a", 0), 3}},
+		Ended: []SeenEnd{{name("a", 1), 3, jobs.EndDone}}}, 5)
+	return r
+}
+
+func claimOf(index int) Run {
+	run := run(entryA, "a", index, 0)
+	run.Number = 3
+	return run
+}
+
+func TestRestoredWorkerTakesNothingBeforeItsFirstLook(t *testing.T) {
+	r := New()
+	r.Restore(aWorker)
+	require.False(t, r.Confirmed())
+	r.Launch([]Run{run(entryA, "b", 0, 0)}, 1)
+	require.Equal(t, jobs.EndNotRun, ends(r)[0].End)
+	r.Looked(Look{ClockMS: 5, AskedAt: 1, Life: 1}, 5)
+	require.True(t, r.Confirmed())
+	r.Launch([]Run{run(entryA, "c", 0, 0)}, 6)
+	require.Len(t, starts(r), 1)
+}
+
+func TestRecordOfAnEarlierLifeNamesNoWorker(t *testing.T) {
+	r := New()
+	r.Restore(aWorker)
+	r.Looked(Look{ClockMS: 5, AskedAt: 1, Life: 2, Running: []Seen{{name("a", 0), 3}}}, 5)
+	require.Nil(t, r.Worker, "the heartbeat tells what the new life can do")
+	r.Restore(aWorker)
+	next := aWorker
+	next.Life = 2
+	r.Announce(next, 6)
+	require.True(t, r.Confirmed())
+}
+
+func TestRunsOfAnEarlierProcessGoOnOnceClaimed(t *testing.T) {
+	r := restored()
+	running, ended := r.Found()
+	require.Equal(t, []Seen{{name("a", 0), 3}}, running)
+	require.Equal(t, []SeenEnd{{name("a", 1), 3, jobs.EndDone}}, ended)
+	require.True(t, r.TakesNone(), "it is not known how much room the found run takes")
+	r.Launch([]Run{claimOf(0)}, 10)
+	require.Empty(t, r.TakeActions(), "it is not started again")
+	require.Equal(t, int64(2000), r.Free().MilliCPU)
+	require.False(t, r.TakesNone())
+	r.Looked(Look{ClockMS: 90, AskedAt: 80, Life: 1, Ended: []SeenEnd{{name("a", 0), 3, jobs.EndDone}}}, 90)
+	require.Equal(t, []End{{Name: name("a", 0), Number: 3, End: jobs.EndDone}}, ends(r), "how long it ran is not known")
+	require.InDelta(t, 1, r.Speed, 0, "so nothing is learned of the worker's speed")
+	r.Tick(5 + claimMS)
+	require.Empty(t, stops(r))
+}
+
+func TestRunThatEndsBeforeItsClaimIsToldToTheEntryThatClaimsIt(t *testing.T) {
+	r := restored()
+	r.Looked(Look{ClockMS: 9, AskedAt: 8, Life: 1, Ended: []SeenEnd{{name("a", 0), 3, jobs.EndDone}}}, 9)
+	r.Launch([]Run{claimOf(0)}, 10)
+	require.Equal(t, []End{{Name: name("a", 0), Number: 3, End: jobs.EndDone}}, ends(r))
+	require.Zero(t, r.Held())
+}
+
+func TestRunsThatNobodyClaimsAreStopped(t *testing.T) {
+	r := restored()
+	r.Tick(5 + claimMS - 1)
+	require.Empty(t, stops(r))
+	require.True(t, r.Pending())
+	r.Tick(5 + claimMS)
+	require.Equal(t, []jobs.Name{name("a", 0)}, stops(r))
+	require.False(t, r.TakesNone())
+	r.Looked(Look{ClockMS: 600, AskedAt: 590, Life: 1, Running: []Seen{{name("a", 0), 3}}}, 600)
+	require.Equal(t, []jobs.Name{name("a", 0)}, stops(r), "as long as it is listed")
+}
+
+func TestWorkerIsTheSameWhateverItsState(t *testing.T) {
+	draining, other := aWorker, aWorker
+	draining.Draining = true
+	other.Labels = []string{"r1"}
+	require.True(t, aWorker.Same(draining))
+	require.False(t, aWorker.Same(other))
+}
--- a/internal/room/judge.go
+++ b/internal/room/judge.go
@@ -40,7 +40,7 @@
 	if r.FailedJobs > 0 || r.TrialUntil > 0 {
 		r.goodAgain()
 	}
-	if run.ExpectedMS < 1 || ran < 1 || run.Stopping {
+	if run.ExpectedMS < 1 || ran < 1 || run.Stopping || run.Claimed {
 		return
 	}
 	r.learnSpeed(math.Log(float64(run.ExpectedMS) / float64(ran)))
--- a/internal/room/looks.go
+++ b/internal/room/looks.go
@@ -104,9 +104,12 @@
 
 // Looked takes a look at the worker.
 func (r *Room) Looked(l Look, now clock.Millis) {
-	if !r.sameLife(l.Life, now) {
+	if !r.confirm(l, now) || !r.sameLife(l.Life, now) {
 		return
 	}
+	if r.claimUntil > 0 {
+		r.keepFound(l)
+	}
 	r.misses = 0
 	r.lookedAt = now
 	if r.Unreachable {
@@ -154,6 +157,9 @@
 		return
 	}
 	ran := now - run.StartedAt
+	if run.Claimed {
+		ran = 0
+	}
 	if e.End == jobs.EndFailed {
 		r.blame(run.Name.Job, now)
 	}
@@ -167,7 +173,10 @@
 func (r *Room) seenRunning(s Seen, now clock.Millis) {
 	run := r.find(s.Name, s.Number)
 	if run == nil {
-		// Left by an earlier incarnation of this agent: nobody waits for it.
+		if r.claimUntil > 0 {
+			return // its entry may claim it
+		}
+		// Left by an earlier process beside the worker: nobody waits for it.
 		r.actions = append(r.actions, Stop{Run: Run{Name: s.Name, Number: s.Number}})
 		return
 	}
--- a/internal/room/room.go
+++ b/internal/room/room.go
@@ -75,6 +75,8 @@
 	Unanswered int
 	// MissingSince is when a look at the worker first lacked a running run.
 	MissingSince clock.Millis
+	// Claimed is set for a run that an earlier process started, at a time unknown.
+	Claimed bool
 }
 
 // key names a run; two entries may hold runs of the same task for a moment.
@@ -132,15 +134,20 @@
 	// at all has changed.
 	Urgent bool
 
-	runs     map[key]*Run
-	used     jobs.Size
-	actions  []Action
-	recent   []recentEnd
-	orphans  map[string]clock.Millis
-	lastFail jobs.ID
-	backoff  clock.Millis
-	endedAt  clock.Millis
-	misses   int
+	runs    map[key]*Run
+	used    jobs.Size
+	actions []Action
+	// restored is set while the worker is known from a record only.
+	restored bool
+	// found holds what an earlier process started, until claimUntil.
+	found      map[Seen]foundRun
+	claimUntil clock.Millis
+	recent     []recentEnd
+	orphans    map[string]clock.Millis
+	lastFail   jobs.ID
+	backoff    clock.Millis
+	endedAt    clock.Millis
+	misses     int
 	// missedAt is when the first of the failed looks in a row was noticed.
 	missedAt clock.Millis
 	renewed  clock.Millis
@@ -209,7 +216,7 @@
 
 // New returns the room of a worker that has not announced itself.
 func New() *Room {
-	return &Room{Speed: 1, runs: map[key]*Run{}, orphans: map[string]clock.Millis{}, backoff: firstTrialMS}
+	return &Room{Speed: 1, runs: map[key]*Run{}, found: map[Seen]foundRun{}, orphans: map[string]clock.Millis{}, backoff: firstTrialMS}
 }
 
 // TakeActions returns what has to be done and forgets it.
@@ -223,6 +230,10 @@
 func (r *Room) Announce(w Worker, now clock.Millis) {
 	old := r.Worker
 	r.Worker = &w
+	if r.restored {
+		// Its look, under way, tells what an earlier process left.
+		r.restored = old.Life == w.Life
+	}
 	if old != nil && old.Life != w.Life {
 		r.newLife(now)
 	}
@@ -265,6 +276,9 @@
 func (r *Room) Launch(runs []Run, now clock.Millis) {
 	for i := range runs {
 		run := runs[i]
+		if r.claim(run, now) {
+			continue
+		}
 		run.Status = Queued
 		run.QueuedAt = now
 		k := key{run.Name, run.Entry}
@@ -284,7 +298,12 @@
 }
 
 func (r *Room) refusing() bool {
-	return r.Closed || r.Worker == nil || r.Worker.Draining || r.Unreachable
+	return r.Closed || r.Worker == nil || r.restored || r.Worker.Draining || r.Unreachable || r.claiming()
+}
+
+// TakesNone reports whether entries should send nothing.
+func (r *Room) TakesNone() bool {
+	return r.refusing()
 }
 
 // replaceOlder stops runs of the same task for other entries: the caller submitted
@@ -397,7 +416,7 @@
 // Pending reports whether something is due within milliseconds: runs that wait for
 // room or for the confirmation of a stop, and entries that were lost.
 func (r *Room) Pending() bool {
-	if len(r.orphans) > 0 {
+	if len(r.orphans) > 0 || r.claimUntil > 0 || r.restored {
 		return true
 	}
 	for _, run := range r.runs {
@@ -430,6 +449,7 @@
 	if r.TrialUntil > 0 && now >= r.TrialUntil {
 		r.Changed = true
 	}
+	r.endClaims(now)
 	r.checkStalled(now)
 	r.pump(now)
 }
@@ -503,16 +523,20 @@
 	if a.Rank != b.Rank {
 		return a.Rank < b.Rank
 	}
-	if a.Name.Job != b.Name.Job {
-		return a.Name.Job < b.Name.Job
+	if a.Name != b.Name {
+		return nameBefore(a.Name, b.Name)
 	}
-	if a.Name.Task.Step != b.Name.Task.Step {
-		return a.Name.Task.Step < b.Name.Task.Step
+	return a.Entry < b.Entry
+}
+
+func nameBefore(a, b jobs.Name) bool {
+	if a.Job != b.Job {
+		return a.Job < b.Job
 	}
-	if a.Name.Task.Index != b.Name.Task.Index {
-		return a.Name.Task.Index < b.Name.Task.Index
+	if a.Task.Step != b.Task.Step {
+		return a.Task.Step < b.Task.Step
 	}
-	return a.Entry < b.Entry
+	return a.Task.Index < b.Task.Index
 }
 
 // sorted returns all runs in a fixed order, so that a replay gives the same result.
--- a/internal/runner/calls.go
+++ b/internal/runner/calls.go
@@ -123,6 +123,9 @@
 	if a.room.AtWorker() == 0 {
 		wait = idleLookMS
 	}
+	if !a.offsetSet {
+		wait = 0 // its clock is needed first, to renew the leases
+	}
 	until := clock.Millis(0)
 	if a.offsetSet && a.room.Renews(now) {
 		until = now + a.offset + a.settings.LeaseMS
@@ -157,7 +160,20 @@
 		a.log.Info("worker back", "worker", a.room.Worker.ID)
 	}
 	a.setOffset(r.look.ClockMS)
+	confirmed := a.room.Confirmed()
 	a.room.Looked(r.look, now)
+	if !confirmed && a.room.Confirmed() {
+		a.onTakenOver()
+	}
+}
+
+// onTakenOver tells the entries that are linked already what an earlier process left.
+func (a *Agent) onTakenOver() {
+	running, ended := a.room.Found()
+	a.log.Info("worker taken over", "worker", a.room.Worker.ID, "running", len(running), "ended", len(ended))
+	for inc, l := range a.links {
+		a.sendInventory(inc, l.link)
+	}
 }
 
 // setOffset follows the worker's clock, which may be slow against this host's.
@@ -178,7 +194,7 @@
 		}
 		m.Free = link.SizeOf(a.room.Free())
 		m.Speed = a.room.Speed
-		m.Closed = a.room.Closed || w.Draining || a.room.Unreachable
+		m.Closed = a.room.TakesNone()
 		m.Resting = none
 		m.Trial = trial
 		m.Stalled = a.room.Stalled()
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -131,6 +131,9 @@
 	asking    bool
 	drainBy   clock.Millis
 	believed  workerState
+	record    *recordKeeper
+	// workerGone is set once the worker has taken its leave.
+	workerGone bool
 }
 
 // entryLink is a linked entry.
@@ -143,7 +146,7 @@
 }
 
 // New returns an agent.
-func New(s Settings, c Clock, w Worker, m Members, log *slog.Logger) *Agent {
+func New(s Settings, c Clock, w Worker, m Members, r Records, log *slog.Logger) *Agent {
 	a := &Agent{
 		settings:  s,
 		clock:     c,
@@ -162,6 +165,7 @@
 		stop:      make(chan struct{}, 1),
 		links:     map[string]*entryLink{},
 		entries:   NewEntries(s.Self.Name, s.Seeds, c.Now()),
+		record:    newRecordKeeper(r),
 	}
 	a.node = link.New(link.Settings{Self: s.Self, TLS: s.TLS, Silence: SilenceMS}, log)
 	return a
@@ -189,6 +193,7 @@
 	done := make(chan error, 1)
 	go a.node.Run(ctx, done)
 	a.askedAt = a.clock.Now() - membersEveryMS
+	a.loadRecord(ctx)
 	err := a.loop(ctx)
 	cancel()
 	a.unwind(done)
@@ -210,6 +215,10 @@
 			a.calls--
 		case <-a.listed:
 			a.calls--
+		case <-a.record.loaded:
+			a.calls--
+		case <-a.record.done:
+			a.calls--
 		}
 	}
 }
@@ -233,6 +242,10 @@
 			a.onStopped(r)
 		case list := <-a.listed:
 			a.onListed(list)
+		case w := <-a.record.loaded:
+			a.onLoaded(w)
+		case err := <-a.record.done:
+			a.onSaved(err)
 		case <-t.C:
 			a.afterPause()
 			a.onTick(ctx)
@@ -323,6 +336,7 @@
 	a.logWorker(now)
 	a.pulse()
 	a.askMembers(ctx, now)
+	a.saveRecord(ctx)
 	a.choose(now)
 }
 
@@ -391,6 +405,7 @@
 
 func (a *Agent) onAnnounced(m Announcement) {
 	now := a.clock.Now()
+	a.workerGone = m.Gone
 	if m.Gone {
 		a.room.Close(now)
 		a.log.Info("worker left", "worker", m.Worker.ID)
@@ -427,8 +442,7 @@
 		}
 		a.links[inc] = &entryLink{link: e.Link}
 		a.log.Info("link up", "peer", e.Link.Peer.Name, "address", e.Link.Remote().String())
-		held, ends := a.room.EntryBack(inc)
-		e.Link.Send(inventoryFrame(held, ends))
+		a.sendInventory(inc, e.Link)
 		e.Link.Send(a.roomFrame(a.links[inc]))
 	case link.Got:
 		if l := a.links[inc]; l != nil && l.link == e.Link {
@@ -439,6 +453,20 @@
 	}
 }
 
+// sendInventory tells an entry what the agent holds for it, and what an earlier
+// process beside the worker left.
+func (a *Agent) sendInventory(inc string, l *link.Link) {
+	held, ends := a.room.EntryBack(inc)
+	running, ended := a.room.Found()
+	for _, f := range running {
+		held = append(held, room.Run{Name: f.Name, Number: f.Number})
+	}
+	for _, f := range ended {
+		ends = append(ends, room.End{Name: f.Name, Number: f.Number, End: f.End})
+	}
+	l.Send(inventoryFrame(held, ends))
+}
+
 func (a *Agent) onDown(e link.Event) {
 	inc := e.Link.Peer.Incarnation
 	if l := a.links[inc]; l == nil || l.link != e.Link {
--- a/internal/sched/links.go
+++ b/internal/sched/links.go
@@ -130,11 +130,14 @@
 // adopt makes l the link of its agent and settles what the old one left open.
 func (e *Entry) adopt(l *link.Link, m *wire.Inventory, now clock.Millis) {
 	inc := l.Peer.Incarnation
-	if old := e.agents[inc]; old != nil {
-		old.Close("replaced by a new link")
+	if old := e.agents[inc]; old != l {
+		if old != nil {
+			old.Close("replaced by a new link")
+		}
+		e.agents[inc] = l
+		e.log.Info("link up", "peer", l.Peer.Name, "role", "agent")
 	}
-	e.agents[inc] = l
-	e.log.Info("link up", "peer", l.Peer.Name, "role", "agent")
+	e.core.AgentReplaced(inc, l.Peer.Name, now)
 	e.takeEnds(inc, m.GetEnds(), now)
 	held := map[jobs.Name]int64{}
 	for _, h := range m.GetHeld() {
@@ -219,6 +222,7 @@
 func (e *Entry) reportOf(h host.Host, m *wire.Room) place.Report {
 	w := place.Worker{
 		Agent:    h.Incarnation,
+		Host:     h.Name,
 		Zone:     h.Place.Zone,
 		Reported: link.SizeFrom(m.GetFree()),
 		Speed:    max(m.GetSpeed(), minSpeed),
