Pass over workers whose agent is quiet

Cause: an agent that was killed is missed by its link after 750 ms, or when its next process arrives after 550 ms; all that entries sent meanwhile was lost, 20 to 40 jobs a kill.

Change: a worker whose last report is older than 400 ms, longer than the interval of reports, is expected to take as much longer. It is still used where there is no other, since an entry that stood still finds all reports old.

--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -281,6 +281,8 @@
 	overheadMS clock.Millis = 4
 	// farMS is the extra way to a worker in another zone.
 	farMS clock.Millis = 3
+	// quietMS is longer than the interval at which an agent that lives reports.
+	quietMS clock.Millis = 400
 	// LateFactor times the objective is the last time at which a late answer is
 	// worth something to its caller.
 	LateFactor = 3
--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -373,3 +373,27 @@
 	s.Ended("old", nameOf(l, 0), 1, jobs.EndDone, 50, 100)
 	require.Equal(t, TaskDone, s.Jobs["a"].Tasks[0].State)
 }
+
+// An agent that was killed is missed by its link only after 750 ms, and all that is
+// sent to it meanwhile is lost.
+func TestWorkerWhoseAgentIsQuietIsPassedOver(t *testing.T) {
+	s := scheduler(worker("fast", 16, 2), worker("slow", 16, 1))
+	now := quietMS + 1
+	s.SetWorker(Report{Worker: worker("slow", 16, 1)}, now)
+	s.Submit(job("a", 1, 100), now)
+	require.Equal(t, "slow", launches(s)[0].Agent)
+	s.SetWorker(Report{Worker: worker("fast", 16, 2)}, now)
+	s.Submit(job("b", 1, 100), now)
+	require.Equal(t, "fast", launches(s)[0].Agent)
+}
+
+// When this entry itself stood still for a moment all reports are old.
+func TestQuietWorkersAreUsedWhenThereAreNoOthers(t *testing.T) {
+	s := scheduler(worker("a", 16, 1), worker("b", 16, 1))
+	now := quietMS + 1
+	s.Submit(job("a", 1, 100), now)
+	for at := now; at < now+200; at += 10 {
+		s.Tick(at)
+	}
+	require.Len(t, launches(s), 1)
+}
--- a/internal/place/pump.go
+++ b/internal/place/pump.go
@@ -189,6 +189,10 @@
 	if w.Zone != s.Zone {
 		end += float64(farMS)
 	}
+	if quiet := now - w.ReportedAt; quiet > quietMS {
+		// Its agent may be gone, which the link shows later.
+		end += float64(quiet)
+	}
 	return end
 }
 
