--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -96,7 +96,7 @@
 	// roomEveryMS, times the square of the number of links, paces reports of a changed
 	// room to entries that had no part in the change, so that with more links an agent
 	// sends fewer frames in all.
-	roomEveryMS clock.Millis = 2
+	roomEveryMS clock.Millis = 4
 )
 
 // Agent is one running agent for sized tasks.
