--- a/Makefile
+++ b/Makefile
@@ -55,6 +55,10 @@
 	$(GO) run ./cmd/turmericbarrow measure --scenario capacity --format text
 	$(GO) test -run '^$$' -bench 'Capacity|Decision' -benchmem ./internal/...
 
+.PHONY: soak
+soak: ## real processes under random faults; SEEDS=1-50 SECONDS_EACH=8
+	SOAK_SEEDS=$(or $(SEEDS),1-50) SOAK_SECONDS=$(or $(SECONDS_EACH),8) $(GO) test ./platform -run TestSoak -count=1 -timeout 60m -v
+
 .PHONY: clean
 clean: ## remove what was built
 	rm -rf bin
