--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -305,7 +305,7 @@
 	// waitPart is the part of its slack that a job may wait. The rest is needed: run
 	// times are off by a third, and a job that starts at its latest moment ends late
 	// every second time.
-	waitPart = 0.3
+	waitPart = 0.5
 )
 
 // learned is what was learned of a queue's jobs.
