--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -16,7 +16,6 @@
 	"github.com/turmericbarrow/turmericbarrow/internal/jobs"
 	"github.com/turmericbarrow/turmericbarrow/internal/link"
 	"github.com/turmericbarrow/turmericbarrow/internal/room"
-	"github.com/turmericbarrow/turmericbarrow/internal/wire"
 )
 
 // Worker is the back end beside the agent.
@@ -142,15 +141,6 @@
 	workerGone bool
 }
 
-// entryLink is a linked entry.
-type entryLink struct {
-	link *link.Link
-	// seenLaunch is the number of the newest launch that came over it.
-	seenLaunch uint64
-	// told is the worker that the entry was told of last.
-	told *room.Worker
-}
-
 // New returns an agent.
 func New(s Settings, c Clock, w Worker, m Members, r Records, log *slog.Logger) *Agent {
 	a := &Agent{
@@ -366,50 +356,6 @@
 	stalled bool
 }
 
-// askMembers asks the store for entries: often while there is no link.
-func (a *Agent) askMembers(ctx context.Context, now clock.Millis) {
-	every := membersEveryMS
-	if len(a.links) == 0 {
-		every = membersAloneMS
-	}
-	if a.asking || now-a.askedAt < every {
-		return
-	}
-	a.asking, a.askedAt = true, now
-	a.calls++
-	go func() {
-		list, err := a.members.Entries(ctx)
-		if err != nil {
-			a.log.Warn("entries not read from the store", "error", err.Error())
-		}
-		a.listed <- list
-	}()
-}
-
-func (a *Agent) onListed(list []string) {
-	a.calls--
-	a.asking = false
-	for _, address := range list {
-		a.entries.List(address, a.clock.Now())
-	}
-	a.choose(a.clock.Now())
-}
-
-// choose dials the entries that this agent should be linked to.
-func (a *Agent) choose(now clock.Millis) {
-	linked := map[string]bool{}
-	for _, e := range a.links {
-		linked[e.link.Peer.Address] = true
-	}
-	dial, forget := a.entries.Choose(linked, now)
-	for _, address := range dial {
-		a.node.Dial(address)
-	}
-	for _, address := range forget {
-		a.node.Forget(address)
-	}
-}
-
 func (a *Agent) onAnnounced(m Announcement) {
 	now := a.clock.Now()
 	a.workerGone = m.Gone
@@ -436,89 +382,3 @@
 	}
 	a.room.Announce(m.Worker, now)
 }
-
-func (a *Agent) onLink(e link.Event) {
-	inc := e.Link.Peer.Incarnation
-	switch e.Type {
-	case link.Up:
-		if a.links[inc] != nil {
-			a.node.Forget(e.Link.Dialed)
-			a.entries.Drop(e.Link.Dialed)
-			e.Link.Close("another link to this entry is up")
-			return
-		}
-		a.links[inc] = &entryLink{link: e.Link}
-		a.heard[inc] = a.clock.Now()
-		a.log.Info("link up", "peer", e.Link.Peer.Name, "address", e.Link.Remote().String())
-		a.sendInventory(inc, e.Link)
-		e.Link.Send(a.roomFrame(a.links[inc]))
-	case link.Got:
-		if l := a.links[inc]; l != nil && l.link == e.Link {
-			a.heard[inc] = a.clock.Now()
-			a.onFrame(inc, l, e.Frame)
-		}
-	case link.Down:
-		a.onDown(e)
-	}
-}
-
-// sendInventory tells an entry what the agent holds for it, and what an earlier
-// process beside the worker left.
-func (a *Agent) sendInventory(inc string, l *link.Link) {
-	held, ends := a.room.EntryBack(inc)
-	running, ended := a.room.Found()
-	for _, f := range running {
-		held = append(held, room.Run{Name: f.Name, Number: f.Number})
-	}
-	for _, f := range ended {
-		ends = append(ends, room.End{Name: f.Name, Number: f.Number, End: f.End})
-	}
-	l.Send(inventoryFrame(held, ends))
-}
-
-func (a *Agent) onDown(e link.Event) {
-	inc := e.Link.Peer.Incarnation
-	if l := a.links[inc]; l == nil || l.link != e.Link {
-		return
-	}
-	delete(a.links, inc)
-	a.room.EntryGone(inc, a.clock.Now())
-	a.log.Info("link down", "peer", e.Link.Peer.Name, "error", errors.Details(e.Err))
-}
-
-func (a *Agent) onFrame(inc string, l *entryLink, f *wire.Frame) {
-	now := a.clock.Now()
-	switch b := f.Body.(type) {
-	case *wire.Frame_Launch:
-		l.seenLaunch = b.Launch.GetNumber()
-		a.room.Launch(runsOf(inc, b.Launch), now)
-	case *wire.Frame_Halt:
-		job, tasks := haltOf(b.Halt)
-		a.room.Halt(inc, job, tasks, now)
-	case *wire.Frame_Roster:
-		for _, h := range b.Roster.GetEntries() {
-			if h.GetRegion() == a.settings.Self.Place.Region {
-				a.entries.List(h.GetAddress(), now)
-			}
-		}
-		a.choose(now)
-	}
-}
-
-// pulse reports the room over links that have carried nothing for a while.
-func (a *Agent) pulse() {
-	for _, l := range a.links {
-		if time.Since(l.link.SentAt) >= PulseMS.Duration() {
-			l.link.Send(a.roomFrame(l))
-		}
-	}
-}
-
-// tellRoom reports the room to every entry.
-func (a *Agent) tellRoom() {
-	a.room.Changed, a.room.Urgent = false, false
-	a.roomAt = a.clock.Now()
-	for _, l := range a.links {
-		l.link.Send(a.roomFrame(l))
-	}
-}
