--- a/internal/place/events.go
+++ b/internal/place/events.go
@@ -324,6 +324,19 @@
 	}
 }
 
+// AgentsAtWork returns the agents that may hold runs.
+func (s *Scheduler) AgentsAtWork() map[string]bool {
+	out := map[string]bool{}
+	for _, j := range s.Jobs {
+		for _, t := range j.Tasks {
+			if t.State == TaskSent {
+				out[t.Agent] = true
+			}
+		}
+	}
+	return out
+}
+
 // WorkerID returns the id of an agent's worker, for logs.
 func (s *Scheduler) WorkerID(agent string) string {
 	if w := s.Workers[agent]; w != nil {
--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -397,3 +397,13 @@
 	}
 	require.Len(t, launches(s), 1)
 }
+
+func TestAgentsAtWorkAreThoseWithRuns(t *testing.T) {
+	s := scheduler(worker("fast", 4, 2), worker("slow", 4, 1))
+	require.Empty(t, s.AgentsAtWork())
+	s.Submit(job("a", 1, 100), 0)
+	l := launches(s)[0]
+	require.Equal(t, map[string]bool{"fast": true}, s.AgentsAtWork())
+	end(s, l, 0, jobs.EndDone, 50)
+	require.Empty(t, s.AgentsAtWork())
+}
--- a/internal/sched/links.go
+++ b/internal/sched/links.go
@@ -179,8 +179,8 @@
 }
 
 // pulse tells peers this entry's state over links that have carried nothing for a
-// while: often from the end that keeps the link alive, the one that dialed. Agents are
-// told that this entry lives, since they renew the leases of its runs only then.
+// while: often from the end that keeps the link alive, the one that dialed. Agents that
+// hold runs are told that this entry lives, since they renew the leases only then.
 func (e *Entry) pulse() {
 	now := time.Now()
 	for _, p := range e.peers {
@@ -192,8 +192,8 @@
 			p.link.Send(e.pulseFrame())
 		}
 	}
-	for _, l := range e.agents {
-		if now.Sub(l.SentAt) >= agentPulseMS.Duration() {
+	for inc := range e.core.AgentsAtWork() {
+		if l := e.agents[inc]; l != nil && now.Sub(l.SentAt) >= agentPulseMS.Duration() {
 			l.Send(&wire.Frame{Body: &wire.Frame_Pulse{Pulse: &wire.Pulse{}}})
 		}
 	}
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -78,7 +78,7 @@
 	// peerStateMS is how often peers are told of waiting jobs and the version in
 	// force.
 	peerStateMS clock.Millis = 1000
-	// agentPulseMS is how long an agent may hear nothing of this entry.
+	// agentPulseMS is how long an agent with runs of this entry may hear nothing of it.
 	agentPulseMS clock.Millis = 200
 	// termsAgainMS paces reads of the configuration that fail.
 	termsAgainMS clock.Millis = 250
