--- a/Makefile
+++ b/Makefile
@@ -15,7 +15,11 @@
 	$(GO) build -o bin/turmericbarrow ./cmd/turmericbarrow
 
 .PHONY: check
-check: lint generated test model soak-regression ## all that CI runs
+check: tools lint generated test model soak-regression ## all that CI runs
+
+.PHONY: tools
+tools: ## install the Debian packages that the checks need
+	@./scripts/install-tools
 
 .PHONY: lint
 lint: ## formatter and linters
