--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -374,7 +374,7 @@
 	require.Equal(t, TaskDone, s.Jobs["a"].Tasks[0].State)
 }
 
-// An agent that was killed is missed by its link only after 750 ms, and all that is
+// An agent that was killed is missed by its link only after its silence, and all that is
 // sent to it meanwhile is lost.
 func TestWorkerWhoseAgentIsQuietIsPassedOver(t *testing.T) {
 	s := scheduler(worker("fast", 16, 2), worker("slow", 16, 1))
--- a/internal/runner/calls.go
+++ b/internal/runner/calls.go
@@ -94,13 +94,12 @@
 
 // callTimeout returns how long a call may take after so many that got no answer.
 func callTimeout(unanswered int) clock.Millis {
-	t := callMS
-	for range unanswered {
-		t = min(2*t, maxCallMS)
-	}
-	return t
+	return min(callMS<<min(unanswered, callDoublings), maxCallMS)
 }
 
+// callDoublings is enough to reach maxCallMS.
+const callDoublings = 3
+
 func (a *Agent) onStarted(r startResult) {
 	a.calls--
 	a.setOffset(r.clockMS)
