--- a/internal/room/room.go
+++ b/internal/room/room.go
@@ -184,7 +184,7 @@
 		}
 		r.runs[k] = &run
 		r.used = r.used.Plus(run.Size)
-		if r.refusing() {
+		if r.TakesNone() {
 			r.end(&run, jobs.EndNotRun, 0, false, now)
 			continue
 		}
@@ -194,13 +194,9 @@
 	r.pump(now)
 }
 
-func (r *Room) refusing() bool {
-	return r.Closed || r.Worker == nil || r.restored || r.Worker.Draining || r.Unreachable || r.Claiming()
-}
-
-// TakesNone reports whether entries should send nothing.
+// TakesNone reports whether the worker takes no runs now.
 func (r *Room) TakesNone() bool {
-	return r.refusing()
+	return r.Closed || r.Worker == nil || r.restored || r.Worker.Draining || r.Unreachable || r.Claiming()
 }
 
 // replaceOlder stops runs of the same task for other entries: the caller submitted
@@ -383,7 +379,7 @@
 
 // pump starts what fits, in order of rank.
 func (r *Room) pump(now clock.Millis) {
-	if r.refusing() {
+	if r.TakesNone() {
 		return
 	}
 	free := r.Worker.Capacity
