--- a/internal/contr/terms.go
+++ b/internal/contr/terms.go
@@ -3,6 +3,8 @@
 import (
 	"strings"
 
+	"github.com/juju/errors"
+
 	"github.com/turmericbarrow/turmericbarrow/internal/clock"
 )
 
@@ -57,6 +59,63 @@
 	Limits  HTTPLimits
 }
 
+// Limits of the values in terms. They are far above any use and keep all arithmetic with
+// these values in range.
+const (
+	maxVersion              = 1 << 53
+	maxTermsMS clock.Millis = 30 * 24 * 3600 * clock.Second
+	maxStretch              = 1000
+	maxCount                = 1 << 31
+)
+
+// Check returns an error if a value of the terms is out of range.
+func (t *Terms) Check() error {
+	if t.Version < 1 || t.Version >= maxVersion {
+		return errors.Errorf("version %d: out of range", t.Version)
+	}
+	for _, q := range t.Queues {
+		if err := q.check(); err != nil {
+			return errors.Annotatef(err, "queue %s", q.Name)
+		}
+	}
+	for _, f := range t.Fleets {
+		if !isCount(int64(f.MaxConnections)) {
+			return errors.Errorf("fleet %s: maximum of connections %d: out of range", f.Name, f.MaxConnections)
+		}
+	}
+	return errors.Annotate(t.Limits.check(), "HTTP limits")
+}
+
+func (q *Queue) check() error {
+	switch {
+	case !isDuration(q.SlackMS):
+		return errors.Errorf("slack %d ms: out of range", q.SlackMS)
+	case !isDuration(q.TimeoutMS):
+		return errors.Errorf("timeout %d ms: out of range", q.TimeoutMS)
+	case !(q.Stretch >= 0 && q.Stretch <= maxStretch):
+		return errors.Errorf("stretch %g: out of range", q.Stretch)
+	case !isCount(int64(q.MaxAttempts)):
+		return errors.Errorf("maximum of attempts %d: out of range", q.MaxAttempts)
+	case q.Priority <= -maxCount || q.Priority >= maxCount:
+		return errors.Errorf("priority %d: out of range", q.Priority)
+	}
+	return nil
+}
+
+func (l *HTTPLimits) check() error {
+	switch {
+	case !isCount(int64(l.HeaderBytes)) || !isCount(l.BodyBytes):
+		return errors.Errorf("sizes of %d and %d bytes: out of range", l.HeaderBytes, l.BodyBytes)
+	case !isDuration(l.HeaderTimeoutMS) || !isDuration(l.IdleTimeoutMS):
+		return errors.Errorf("timeouts of %d and %d ms: out of range", l.HeaderTimeoutMS, l.IdleTimeoutMS)
+	}
+	return nil
+}
+
+func isCount(n int64) bool { return n >= 0 && n < maxCount }
+
+func isDuration(d clock.Millis) bool { return d >= 0 && d <= maxTermsMS }
+
 // NewerThan reports whether t replaces other. A process never returns to older terms.
 func (t *Terms) NewerThan(other *Terms) bool {
 	return t != nil && (other == nil || t.Version > other.Version)
--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -30,6 +30,15 @@
 	return Size{s.MilliCPU - o.MilliCPU, s.MemoryMB - o.MemoryMB, s.Accelerators - o.Accelerators}
 }
 
+// maxAmount is above the amount of any resource that a worker has.
+const maxAmount = 1 << 40
+
+// Valid reports whether s can be the capacity of a worker. No sum over the workers of a fleet
+// overflows then.
+func (s Size) Valid() bool {
+	return min(s.MilliCPU, s.MemoryMB, s.Accelerators) >= 0 && max(s.MilliCPU, s.MemoryMB, s.Accelerators) < maxAmount
+}
+
 // FitsIn reports whether no resource of s exceeds that of o.
 func (s Size) FitsIn(o Size) bool {
 	return s.MilliCPU <= o.MilliCPU && s.MemoryMB <= o.MemoryMB && s.Accelerators <= o.Accelerators
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -15,6 +15,7 @@
 	"google.golang.org/protobuf/encoding/protodelim"
 
 	"github.com/turmericbarrow/turmericbarrow/internal/certs"
+	"github.com/turmericbarrow/turmericbarrow/internal/guard"
 	"github.com/turmericbarrow/turmericbarrow/internal/host"
 	"github.com/turmericbarrow/turmericbarrow/internal/wire"
 	"github.com/turmericbarrow/turmericbarrow/internal/zone"
@@ -178,8 +179,8 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	done := make(chan error, 2)
-	go l.readLoop(ctx, events, done)
-	go l.writeLoop(ctx, done)
+	go func() { done <- guard.Call("read", func() error { return l.readLoop(ctx, events) }) }()
+	go func() { done <- guard.Call("write", func() error { return l.writeLoop(ctx) }) }()
 	err := <-done
 	cancel()
 	l.Close("link ended")
@@ -187,39 +188,35 @@
 	return err
 }
 
-func (l *Link) readLoop(ctx context.Context, events chan<- Event, done chan<- error) {
+// readLoop passes received frames to the owner until the link or ctx ends.
+func (l *Link) readLoop(ctx context.Context, events chan<- Event) error {
 	for {
 		f, err := l.readFrame()
 		if err != nil {
-			done <- errors.Annotatef(err, "read from %s", l.Peer.Name)
-			return
+			return errors.Annotatef(err, "read from %s", l.Peer.Name)
 		}
 		select {
 		case events <- Event{Type: Received, Link: l, Frame: f}:
 		case <-ctx.Done():
-			done <- errors.Annotatef(ctx.Err(), "read from %s", l.Peer.Name)
-			return
+			return errors.Annotatef(ctx.Err(), "read from %s", l.Peer.Name)
 		}
 	}
 }
 
-func (l *Link) writeLoop(ctx context.Context, done chan<- error) {
+// writeLoop writes queued frames until the link or ctx ends.
+func (l *Link) writeLoop(ctx context.Context) error {
 	for {
 		select {
 		case f := <-l.outbox:
 			if err := l.writeBatch(f); err != nil {
-				done <- errors.Annotatef(err, "write to %s", l.Peer.Name)
-				return
+				return errors.Annotatef(err, "write to %s", l.Peer.Name)
 			}
 		case <-l.shutdown:
-			done <- l.flushAndClose()
-			return
+			return l.flushAndClose()
 		case <-ctx.Done():
-			done <- errors.Annotatef(ctx.Err(), "write to %s", l.Peer.Name)
-			return
+			return errors.Annotatef(ctx.Err(), "write to %s", l.Peer.Name)
 		case <-l.conn.Context().Done():
-			done <- errors.Annotatef(context.Cause(l.conn.Context()), "write to %s", l.Peer.Name)
-			return
+			return errors.Annotatef(context.Cause(l.conn.Context()), "write to %s", l.Peer.Name)
 		}
 	}
 }
--- a/internal/link/node.go
+++ b/internal/link/node.go
@@ -5,12 +5,14 @@
 	"crypto/tls"
 	"log/slog"
 	"net"
+	"net/netip"
 	"time"
 
 	"github.com/juju/errors"
 	"github.com/quic-go/quic-go"
 
 	"github.com/turmericbarrow/turmericbarrow/internal/clock"
+	"github.com/turmericbarrow/turmericbarrow/internal/guard"
 	"github.com/turmericbarrow/turmericbarrow/internal/host"
 	"github.com/turmericbarrow/turmericbarrow/internal/retry"
 )
@@ -251,7 +253,8 @@
 // runLink exchanges hellos and runs the link until it ends. It reports whether the link
 // came up.
 func (n *Node) runLink(ctx context.Context, l *Link) bool {
-	if err := l.exchangeHellos(n.settings.Self); err != nil {
+	err := guard.Call("exchange hellos", func() error { return l.exchangeHellos(n.settings.Self) })
+	if err != nil {
 		n.log.Warn("link setup failed", "peer", l.RemoteAddr().String(), "error", err.Error())
 		l.Close("refused")
 		return false
@@ -260,7 +263,7 @@
 		l.Close(shutdownReason)
 		return false
 	}
-	err := l.run(ctx, n.events)
+	err = l.run(ctx, n.events)
 	n.emit(ctx, Event{Type: Down, Link: l, Err: err})
 	return true
 }
@@ -319,6 +322,12 @@
 	return n.runLink(ctx, newLink(conn, stream, address))
 }
 
+// ValidAddress reports whether address is an IP address with a port that a peer can listen on.
+func ValidAddress(address string) bool {
+	a, err := netip.ParseAddrPort(address)
+	return err == nil && a.Port() != 0 && !a.Addr().IsUnspecified() && !a.Addr().IsMulticast()
+}
+
 // networkFor returns the network of an address. IPv4 is explicit because hosts may lack
 // IPv6.
 func networkFor(a *net.UDPAddr) string {
--- a/internal/runner/calls.go
+++ b/internal/runner/calls.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"github.com/turmericbarrow/turmericbarrow/internal/clock"
+	"github.com/turmericbarrow/turmericbarrow/internal/guard"
 	"github.com/turmericbarrow/turmericbarrow/internal/jobs"
 	"github.com/turmericbarrow/turmericbarrow/internal/link"
 	"github.com/turmericbarrow/turmericbarrow/internal/runs"
@@ -67,8 +68,12 @@
 	go func() {
 		ctx, stop := context.WithTimeout(ctx, callTimeout(r.UnansweredStarts).Duration())
 		defer stop()
-		outcome, clockMS := a.worker.Start(ctx, w, r, until)
-		a.startResults <- startResult{run: r, outcome: outcome, clockMS: clockMS}
+		result := startResult{run: r, outcome: runs.StartUnanswered}
+		err := guard.Run("start run", func() { result.outcome, result.clockMS = a.worker.Start(ctx, w, r, until) })
+		if err != nil {
+			a.log.Error("unexpected error in a start", "job", string(r.Ref.Job), "error", err.Error())
+		}
+		a.startResults <- result
 	}()
 }
 
@@ -119,7 +124,8 @@
 	go func() {
 		ctx, stop := context.WithTimeout(ctx, maxCallTimeoutMS.Duration())
 		defer stop()
-		a.stopResults <- stopResult{run: r, err: a.worker.Stop(ctx, w, r.Ref, r.Number)}
+		err := guard.Call("stop run", func() error { return a.worker.Stop(ctx, w, r.Ref, r.Number) })
+		a.stopResults <- stopResult{run: r, err: err}
 	}()
 }
 
@@ -157,7 +163,11 @@
 	go func() {
 		ctx, stop := context.WithTimeout(ctx, (wait + timeout).Duration())
 		defer stop()
-		p, err := a.worker.Poll(ctx, w, until, wait)
+		var p runs.PollResult
+		err := guard.Call("poll", func() (err error) {
+			p, err = a.worker.Poll(ctx, w, until, wait)
+			return err
+		})
 		p.SentAt = now
 		a.pollResults <- pollResult{result: p, err: err}
 	}()
@@ -181,6 +191,9 @@
 	if a.supervisor.Unreachable {
 		a.log.Info("worker back", "worker", a.supervisor.Worker.ID)
 	}
+	if r.result.MalformedRows > 0 {
+		a.log.Warn("the worker listed runs that are not understood; ignored", "worker", a.supervisor.Worker.ID, "rows", r.result.MalformedRows)
+	}
 	a.setClockOffset(r.result.ClockMS)
 	confirmed := a.supervisor.Confirmed()
 	a.supervisor.HandlePoll(r.result, now)
--- a/internal/runner/entries.go
+++ b/internal/runner/entries.go
@@ -6,6 +6,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/turmericbarrow/turmericbarrow/internal/clock"
+	"github.com/turmericbarrow/turmericbarrow/internal/link"
 )
 
 // Limits of the choice of entries.
@@ -44,9 +45,9 @@
 	return &EntrySelector{Name: name, Seeds: seeds, startedAt: now, listedAt: map[string]clock.Millis{}, dialedAt: map[string]clock.Millis{}}
 }
 
-// Add records an address that the store or an entry lists.
+// Add records an address that the store or an entry lists. It ignores an invalid one.
 func (s *EntrySelector) Add(address string, now clock.Millis) {
-	if address != "" {
+	if link.ValidAddress(address) {
 		s.listedAt[address] = now
 	}
 }
--- a/internal/runner/entries_test.go
+++ b/internal/runner/entries_test.go
@@ -10,7 +10,7 @@
 )
 
 func newTestSelector(name string, n int) *EntrySelector {
-	s := NewEntrySelector(name, []string{"seed"}, 0)
+	s := NewEntrySelector(name, []string{"10.0.1.1:7400"}, 0)
 	for i := range n {
 		s.Add(fmt.Sprintf("10.0.0.%d:7400", i), 0)
 	}
@@ -46,11 +46,11 @@
 }
 
 func TestSeedsAreUsedOnlyAfterSeedDelay(t *testing.T) {
-	s := NewEntrySelector("agent", []string{"seed"}, 0)
+	s := NewEntrySelector("agent", []string{"10.0.1.1:7400"}, 0)
 	dial, _ := s.Select(nil, seedDelayMS)
 	require.Empty(t, dial)
 	dial, _ = s.Select(nil, seedDelayMS+1)
-	require.Equal(t, []string{"seed"}, dial)
+	require.Equal(t, []string{"10.0.1.1:7400"}, dial)
 }
 
 func TestUnlistedEntryIsNoLongerDialed(t *testing.T) {
@@ -59,3 +59,12 @@
 	_, stopDialing := s.Select(nil, unlistedGraceMS+clock.Second)
 	require.Equal(t, []string{"10.0.0.0:7400"}, stopDialing)
 }
+
+func TestInvalidAddressIsNotDialed(t *testing.T) {
+	s := newTestSelector("agent", 0)
+	for _, address := range []string{"", "x", "10.0.0.1", "10.0.0.1:0", "10.0.0.1:99999", "example.org:7400", "0.0.0.0:7400"} {
+		s.Add(address, 0)
+	}
+	dial, _ := s.Select(nil, 0)
+	require.Empty(t, dial)
+}
--- a/internal/runner/lease_test.go
+++ b/internal/runner/lease_test.go
@@ -11,12 +11,13 @@
 	"github.com/turmericbarrow/turmericbarrow/internal/clock"
 	"github.com/turmericbarrow/turmericbarrow/internal/host"
 	"github.com/turmericbarrow/turmericbarrow/internal/jobs"
+	"github.com/turmericbarrow/turmericbarrow/internal/roster"
 	"github.com/turmericbarrow/turmericbarrow/internal/runs"
 )
 
 type fakeStore struct{}
 
-func (fakeStore) Entries(context.Context) ([]string, error)                { return nil, nil }
+func (fakeStore) Entries(context.Context) ([]roster.Record, error)         { return nil, nil }
 func (fakeStore) SaveWorker(context.Context, string, *runs.Worker) error   { return nil }
 func (fakeStore) LoadWorker(context.Context, string) (*runs.Worker, error) { return nil, nil }
 
--- a/internal/runner/links.go
+++ b/internal/runner/links.go
@@ -7,7 +7,9 @@
 	"github.com/juju/errors"
 
 	"github.com/turmericbarrow/turmericbarrow/internal/clock"
+	"github.com/turmericbarrow/turmericbarrow/internal/guard"
 	"github.com/turmericbarrow/turmericbarrow/internal/link"
+	"github.com/turmericbarrow/turmericbarrow/internal/roster"
 	"github.com/turmericbarrow/turmericbarrow/internal/runs"
 	"github.com/turmericbarrow/turmericbarrow/internal/wire"
 )
@@ -33,21 +35,34 @@
 	a.queryingEntries, a.entriesQueriedAt = true, now
 	a.activeCalls++
 	go func() {
-		addresses, err := a.directory.Entries(ctx)
-		if err != nil {
-			a.log.Warn("failed to read the entries from the store", "error", err.Error())
-		}
-		a.entryLists <- addresses
+		list := entryList{}
+		list.err = guard.Call("read the list of entries", func() (err error) {
+			list.records, err = a.directory.Entries(ctx)
+			return err
+		})
+		a.entryLists <- list
 	}()
 }
 
-func (a *Agent) onEntryList(addresses []string) {
+// entryList is the result of one read of the list of entries.
+type entryList struct {
+	records []roster.Record
+	err     error
+}
+
+func (a *Agent) onEntryList(list entryList) {
 	a.activeCalls--
 	a.queryingEntries = false
-	for _, address := range addresses {
-		a.selector.Add(address, a.clock.Now())
+	if list.err != nil {
+		a.log.Warn("failed to read the entries from the store", "error", list.err.Error())
+		return
+	}
+	now := a.clock.Now()
+	live, _ := a.listing.Update(list.records, now)
+	for _, address := range live {
+		a.selector.Add(address, now)
 	}
-	a.updateDials(a.clock.Now())
+	a.updateDials(now)
 }
 
 // updateDials starts and stops dialing entries as the selector decides.
--- a/internal/runner/metrics.go
+++ b/internal/runner/metrics.go
@@ -34,6 +34,10 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf("turmericbarrow_looks_total{answered=\"%t\"}", ok)).Inc()
 }
 
+func (m *Metrics) recordPanic() {
+	m.set.GetOrCreateCounter("turmericbarrow_unexpected_errors_total").Inc()
+}
+
 func (m *Metrics) recordRunEnd(outcome jobs.Outcome) {
 	m.set.GetOrCreateCounter(fmt.Sprintf("turmericbarrow_runs_ended_total{end=%q}", outcome)).Inc()
 }
--- a/internal/runner/record.go
+++ b/internal/runner/record.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"github.com/turmericbarrow/turmericbarrow/internal/clock"
+	"github.com/turmericbarrow/turmericbarrow/internal/guard"
 	"github.com/turmericbarrow/turmericbarrow/internal/runs"
 )
 
@@ -45,7 +46,11 @@
 func (a *Agent) loadWorkerRecord(ctx context.Context) {
 	a.activeCalls++
 	go func() {
-		w, err := a.recordWriter.store.LoadWorker(ctx, a.settings.Self.Name)
+		var w *runs.Worker
+		err := guard.Call("read the worker record", func() (err error) {
+			w, err = a.recordWriter.store.LoadWorker(ctx, a.settings.Self.Name)
+			return err
+		})
 		if err != nil {
 			a.log.Warn("failed to read the worker record; the worker's next announcement provides the same data", "error", err.Error())
 		}
@@ -73,7 +78,11 @@
 	}
 	writer.saving, writer.savingWorker = true, w
 	a.activeCalls++
-	go func() { writer.saveDone <- writer.store.SaveWorker(ctx, a.settings.Self.Name, w) }()
+	go func() {
+		writer.saveDone <- guard.Call("write the worker record", func() error {
+			return writer.store.SaveWorker(ctx, a.settings.Self.Name, w)
+		})
+	}()
 }
 
 // workerToRecord returns the worker to be recorded, or nil if there is no confirmed worker
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -13,9 +13,11 @@
 	"github.com/juju/errors"
 
 	"github.com/turmericbarrow/turmericbarrow/internal/clock"
+	"github.com/turmericbarrow/turmericbarrow/internal/guard"
 	"github.com/turmericbarrow/turmericbarrow/internal/host"
 	"github.com/turmericbarrow/turmericbarrow/internal/jobs"
 	"github.com/turmericbarrow/turmericbarrow/internal/link"
+	"github.com/turmericbarrow/turmericbarrow/internal/roster"
 	"github.com/turmericbarrow/turmericbarrow/internal/runs"
 )
 
@@ -42,6 +44,9 @@
 // Announcement is a worker's description of itself.
 type Announcement struct {
 	Worker runs.Worker
+	// Sequence increases with each announcement of a worker in one epoch. An announcement
+	// that arrives late has a lower number than one before it.
+	Sequence int64
 	// ClockMS is the time on the worker's clock.
 	ClockMS clock.Millis
 	// Gone is set when the worker deregisters.
@@ -53,8 +58,8 @@
 
 // EntryDirectory is the list of entries in the platform's store.
 type EntryDirectory interface {
-	// Entries returns the link addresses of the entries.
-	Entries(ctx context.Context) ([]string, error)
+	// Entries returns the records of the entries.
+	Entries(ctx context.Context) ([]roster.Record, error)
 }
 
 // Settings of an agent for sized tasks.
@@ -121,7 +126,7 @@
 	startResults   chan startResult
 	pollResults    chan pollResult
 	stopResults    chan stopResult
-	entryLists     chan []string
+	entryLists     chan entryList
 	gaugeQueries   chan chan<- Gauges
 	drainRequested chan struct{}
 	metrics        *Metrics
@@ -132,6 +137,7 @@
 	// while the worker may have runs of the entry.
 	lastReceived map[string]clock.Millis
 	selector     *EntrySelector
+	listing      *roster.Listing
 	// activeCalls counts the worker and store calls in flight.
 	activeCalls int
 	// polling is set while a poll is in flight.
@@ -167,13 +173,14 @@
 		startResults:   make(chan startResult, inboxSize),
 		pollResults:    make(chan pollResult, 1),
 		stopResults:    make(chan stopResult, inboxSize),
-		entryLists:     make(chan []string, 1),
+		entryLists:     make(chan entryList, 1),
 		gaugeQueries:   make(chan chan<- Gauges),
 		metrics:        newMetrics(),
 		drainRequested: make(chan struct{}, 1),
 		links:          map[string]*entryLink{},
 		lastReceived:   map[string]clock.Millis{},
 		selector:       NewEntrySelector(s.Self.Name, s.Seeds, c.Now()),
+		listing:        roster.NewListing(),
 		recordWriter:   newRecordWriter(workerStore),
 	}
 	a.node = link.New(link.Settings{Self: s.Self, TLS: s.TLS, IdleTimeout: LinkTimeoutMS}, log)
@@ -239,39 +246,41 @@
 	defer t.Stop()
 	shortTick := true
 	for {
+		var source *link.Link
+		var handle func()
+		ticked := false
 		select {
 		case e := <-a.node.Events():
-			a.checkPause()
-			a.onLinkEvent(e)
+			source, handle = e.Link, func() { a.onLinkEvent(e) }
 		case m := <-a.announcements:
-			a.onAnnouncement(m)
+			handle = func() { a.onAnnouncement(m) }
 		case r := <-a.startResults:
-			a.onStartResult(r)
+			handle = func() { a.onStartResult(r) }
 		case r := <-a.pollResults:
-			a.onPollResult(r)
+			handle = func() { a.onPollResult(r) }
 		case r := <-a.stopResults:
-			a.onStopResult(r)
+			handle = func() { a.onStopResult(r) }
 		case list := <-a.entryLists:
-			a.onEntryList(list)
+			handle = func() { a.onEntryList(list) }
 		case w := <-a.recordWriter.loaded:
-			a.onWorkerRecordLoaded(w)
+			handle = func() { a.onWorkerRecordLoaded(w) }
 		case err := <-a.recordWriter.saveDone:
-			a.onWorkerRecordSaved(err)
+			handle = func() { a.onWorkerRecordSaved(err) }
 		case <-t.C:
-			a.checkPause()
-			a.onTick(ctx)
-			shortTick = a.busy()
-			t.Reset(tickInterval(shortTick))
+			ticked, handle = true, func() { a.onTick(ctx) }
 		case q := <-a.gaugeQueries:
-			q <- a.gauges()
+			handle = func() { q <- a.gauges() }
 		case <-a.drainRequested:
-			a.startDrain()
+			handle = func() { a.startDrain() }
 		case <-ctx.Done():
 			return errors.Annotate(ctx.Err(), "run agent")
 		}
-		a.performActions(ctx)
-		a.poll(ctx)
-		if !shortTick && a.busy() {
+		a.checkPause()
+		a.handleGuarded(ctx, source, handle)
+		if ticked {
+			shortTick = a.busy()
+			t.Reset(tickInterval(shortTick))
+		} else if !shortTick && a.busy() {
 			shortTick = true
 			t.Reset(busyInterval)
 		}
@@ -281,6 +290,29 @@
 	}
 }
 
+// handleGuarded handles one message and performs the resulting actions. If that panics, the
+// state of the runs may be inconsistent: all links are closed and all runs stopped, as after
+// a pause. If that fails as well, the process ends; its next incarnation takes over the
+// worker from its record, and leases that nobody renews end the runs.
+func (a *Agent) handleGuarded(ctx context.Context, source *link.Link, handle func()) {
+	err := guard.Run("handle message", func() {
+		handle()
+		a.performActions(ctx)
+		a.poll(ctx)
+	})
+	if err == nil {
+		return
+	}
+	a.metrics.recordPanic()
+	a.log.Error("unexpected error; stopping all runs", "error", err.Error(), "held", a.supervisor.Held())
+	if source != nil {
+		source.Close("unexpected error")
+	}
+	a.stopAll("unexpected error")
+	a.performActions(ctx)
+	a.poll(ctx)
+}
+
 // checkPause closes all links and stops all runs if this process was paused for so long that
 // the entries count its runs as lost: the machine was suspended, or the process was not
 // scheduled. Frames still in the sockets' buffers are stale.
@@ -290,10 +322,15 @@
 		return
 	}
 	a.log.Warn("process was paused; stopping all runs", "paused_ms", int64(paused))
+	a.stopAll("suspended")
+}
+
+// stopAll closes all links and stops all runs.
+func (a *Agent) stopAll(reason string) {
 	now := a.clock.Now()
 	for entry, l := range a.links {
 		delete(a.links, entry)
-		l.link.Close("suspended")
+		l.link.Close(reason)
 		a.supervisor.EntryDisconnected(entry, now-runs.DisconnectGraceMS) // the grace period counts as over
 	}
 	a.supervisor.StopAll(now)
@@ -374,22 +411,31 @@
 }
 
 func (a *Agent) onAnnouncement(m Announcement) {
+	defer close(m.Handled)
 	now := a.clock.Now()
-	a.workerGone = m.Gone
-	if m.Gone {
+	switch known := a.supervisor.Worker; {
+	case m.Gone && known != nil && known.ID != m.Worker.ID:
+		return // the deregistration of an earlier worker arrived late
+	case m.Gone:
+		a.workerGone = true
 		a.supervisor.StopAccepting(now)
 		a.log.Info("worker left", "worker", m.Worker.ID)
-	} else {
+	case a.supervisor.AcceptAnnouncement(m.Worker, m.Sequence):
 		a.updateWorker(m, now)
+	default:
+		return
 	}
 	a.reportCapacity()
-	close(m.Handled)
 }
 
 func (a *Agent) updateWorker(m Announcement, now clock.Millis) {
 	old := a.supervisor.Worker
-	if old == nil || old.Epoch != m.Worker.Epoch {
+	if !m.Worker.Draining || old == nil || old.Epoch != m.Worker.Epoch {
+		// A worker announces that it drains before it leaves, so this one has not left.
+		a.workerGone = false
 		a.supervisor.StoppedAccepting = a.drainDeadline > 0
+	}
+	if old == nil || old.Epoch != m.Worker.Epoch {
 		a.log.Info("worker up", "worker", m.Worker.ID, "life", m.Worker.Epoch, "fleet", m.Worker.Fleet,
 			"milli_cpu", m.Worker.Capacity.MilliCPU)
 		a.clockOffset, a.clockOffsetKnown = m.ClockMS-now, true
--- a/internal/runs/polls.go
+++ b/internal/runs/polls.go
@@ -1,6 +1,8 @@
 package runs
 
 import (
+	"slices"
+
 	"github.com/turmericbarrow/turmericbarrow/internal/clock"
 	"github.com/turmericbarrow/turmericbarrow/internal/jobs"
 )
@@ -100,12 +102,14 @@
 	Epoch   int64
 	Running []RunID
 	Ended   []EndedRun
+	// MalformedRows counts the rows of the answer that could not be decoded.
+	MalformedRows int
 }
 
 // HandlePoll updates the worker and all runs from an answered poll. It ignores the answer
 // of an earlier epoch.
 func (s *Supervisor) HandlePoll(p PollResult, now clock.Millis) {
-	if !s.confirm(p, now) || !s.acceptEpoch(p.Epoch, now) {
+	if !s.confirm(p, now) || !s.acceptEpoch(p, now) {
 		return
 	}
 	if s.claimUntil > 0 {
@@ -129,20 +133,38 @@
 	s.startQueued(now)
 }
 
-// acceptEpoch reports whether a poll belongs to the worker's present epoch or a newer one.
-// A newer epoch ends all runs of the earlier one.
-func (s *Supervisor) acceptEpoch(epoch int64, now clock.Millis) bool {
-	if s.Worker == nil || epoch == 0 || epoch == s.Worker.Epoch {
+// acceptEpoch reports whether a poll belongs to the worker's present epoch or to another one
+// that has replaced it, which ends all runs of the present one. The answer to a poll shows
+// which epoch is at the worker's address, even if its number is lower: epochs are times of
+// day, and the clock of a host may step back between two starts of its worker. An answer to
+// a poll that was sent before the present epoch was known may be out of date, and an epoch
+// that was replaced once does not return.
+func (s *Supervisor) acceptEpoch(p PollResult, now clock.Millis) bool {
+	if s.Worker == nil || p.Epoch == 0 || p.Epoch == s.Worker.Epoch {
 		return true
 	}
-	if epoch < s.Worker.Epoch {
+	if p.Epoch < s.Worker.Epoch && p.SentAt <= s.epochSince || slices.Contains(s.retiredEpochs, p.Epoch) {
 		return false
 	}
-	s.Worker.Epoch = epoch
+	s.retireEpoch(now)
+	s.Worker.Epoch = p.Epoch
+	s.announced = -1
 	s.startNewEpoch(now)
 	return true
 }
 
+// maxRetiredEpochs is the number of past epochs whose late announcements are recognized.
+const maxRetiredEpochs = 16
+
+// retireEpoch records that another epoch replaces the worker's present one.
+func (s *Supervisor) retireEpoch(now clock.Millis) {
+	s.epochSince = now
+	s.retiredEpochs = append(s.retiredEpochs, s.Worker.Epoch)
+	if len(s.retiredEpochs) > maxRetiredEpochs {
+		s.retiredEpochs = s.retiredEpochs[1:]
+	}
+}
+
 // findRun returns the run of the task with the given number that the worker may have, or
 // nil.
 func (s *Supervisor) findRun(ref jobs.TaskRef, number int64) *Run {
--- a/internal/runs/supervisor.go
+++ b/internal/runs/supervisor.go
@@ -6,6 +6,7 @@
 package runs
 
 import (
+	"slices"
 	"sort"
 
 	"github.com/turmericbarrow/turmericbarrow/internal/clock"
@@ -68,6 +69,12 @@
 	// fastLogSpeed is the fast-moving average of the speed's logarithm.
 	fastLogSpeed float64
 	stalled      bool
+	// announced is the sequence number of the last announcement of the present epoch, or -1.
+	announced int64
+	// epochSince is when the worker's present epoch became known.
+	epochSince clock.Millis
+	// retiredEpochs are the last epochs that were replaced by another one.
+	retiredEpochs []int64
 }
 
 // recentEnd is the end of a run whose report its entry may not have received.
@@ -136,7 +143,7 @@
 
 // New returns the supervisor of a worker that has not announced itself.
 func New() *Supervisor {
-	return &Supervisor{Speed: 1, runs: map[runKey]*Run{}, orphaned: map[RunID]orphanedRun{}, disconnected: map[string]clock.Millis{}, nextEjectionMS: minEjectionMS}
+	return &Supervisor{Speed: 1, runs: map[runKey]*Run{}, orphaned: map[RunID]orphanedRun{}, disconnected: map[string]clock.Millis{}, nextEjectionMS: minEjectionMS, announced: -1}
 }
 
 // TakeActions returns the pending actions and clears the list.
@@ -146,9 +153,32 @@
 	return a
 }
 
+// AcceptAnnouncement reports whether an announcement is newer than the one before, and if so
+// records its sequence number. Announcements may arrive late: those of a retired epoch and
+// those with a lower sequence number are to be ignored. The sequence numbers of two workers
+// with the same epoch can't be compared, so that another worker counts as newer. A lower
+// epoch counts as newer only once a poll has confirmed it.
+func (s *Supervisor) AcceptAnnouncement(w Worker, sequence int64) bool {
+	old := s.Worker
+	newer := old == nil || w.Epoch > old.Epoch && !slices.Contains(s.retiredEpochs, w.Epoch)
+	if old != nil && w.Epoch == old.Epoch {
+		newer = w.ID != old.ID || sequence > s.announced
+	}
+	if newer {
+		s.announced = sequence
+	}
+	return newer
+}
+
 // Announce updates the worker from its announcement.
 func (s *Supervisor) Announce(w Worker, now clock.Millis) {
 	old := s.Worker
+	if old == nil || old.Epoch != w.Epoch {
+		s.epochSince = now
+	}
+	if old != nil && old.Epoch != w.Epoch {
+		s.retireEpoch(now)
+	}
 	s.Worker = &w
 	if s.restored {
 		// If the epoch is unchanged, the worker stays unconfirmed until the next answered
--- a/internal/runs/supervisor_test.go
+++ b/internal/runs/supervisor_test.go
@@ -244,6 +244,38 @@
 	require.Empty(t, takeStops(s), "a late answer of the earlier epoch is ignored")
 }
 
+// Epochs are times of day. A worker that restarts after its host's clock stepped back has a
+// lower epoch than before, and used to be ignored from then on.
+func TestWorkerIsUsedAgainAfterItsClockSteppedBack(t *testing.T) {
+	s := newSupervisor()
+	s.Launch([]Run{newRun(entryA, "a", 0, 0)}, 0)
+	takeStarts(s)
+	answerStart(s, ref("a", 0), entryA, StartOK, 1)
+	old := *s.Worker
+	s.Worker.Epoch, old.Epoch = 50, 50
+	restarted := Worker{ID: "w", Epoch: 20, Fleet: "f", Capacity: old.Capacity}
+	require.False(t, s.AcceptAnnouncement(restarted, 0), "it may be a late announcement of an earlier epoch")
+	s.HandlePoll(PollResult{ClockMS: 5, SentAt: 100, Epoch: 20}, 105)
+	require.Equal(t, []RunEnd{{Ref: ref("a", 0), Number: 1, Outcome: jobs.OutcomeLost}}, takeEnds(s))
+	require.True(t, s.AcceptAnnouncement(restarted, 0), "a poll has confirmed the epoch")
+	s.Announce(restarted, 110)
+	require.False(t, s.AcceptAnnouncement(old, 1000), "a late announcement of the epoch that ended")
+	s.Launch([]Run{newRun(entryA, "b", 0, 0)}, 120)
+	require.Len(t, takeStarts(s), 1)
+}
+
+func TestLateAnnouncementIsIgnored(t *testing.T) {
+	s := newSupervisor()
+	w := *s.Worker
+	require.True(t, s.AcceptAnnouncement(w, 5))
+	require.False(t, s.AcceptAnnouncement(w, 5))
+	require.False(t, s.AcceptAnnouncement(w, 4))
+	require.True(t, s.AcceptAnnouncement(w, 6))
+	other := w
+	other.ID = "other"
+	require.True(t, s.AcceptAnnouncement(other, 0), "the sequence numbers of two workers can't be compared")
+}
+
 func TestRunsOfUnreachableWorkerAreLostOnlyAfterLeaseExpiry(t *testing.T) {
 	s := newSupervisor()
 	s.Launch([]Run{newRun(entryA, "a", 0, 0)}, 0)
--- a/internal/sched/links.go
+++ b/internal/sched/links.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"math"
 	"time"
 
 	"github.com/juju/errors"
@@ -89,9 +90,9 @@
 }
 
 // dial records that address is configured or listed now, and starts to dial it unless it
-// is already being dialed. It ignores an empty address and this entry's own.
+// is already being dialed. It ignores an invalid address and this entry's own.
 func (e *Entry) dial(address string) {
-	if address == "" || address == e.settings.Self.Address {
+	if !link.ValidAddress(address) || address == e.settings.Self.Address {
 		return
 	}
 	if _, dialed := e.dialedAddresses[address]; !dialed {
@@ -126,7 +127,13 @@
 	}
 	switch b := f.Body.(type) {
 	case *wire.Frame_Room:
-		e.scheduler.UpdateWorker(e.decodeReport(l.Peer, b.Room), now)
+		report := e.decodeReport(l.Peer, b.Room)
+		if !report.Worker.Capacity.Valid() {
+			e.log.Warn("invalid report from an agent; link closed", "peer", l.Peer.Name)
+			l.Close("invalid report")
+			return
+		}
+		e.scheduler.UpdateWorker(report, now)
 	case *wire.Frame_Ends:
 		e.onRunEnds(incarnation, b.Ends.GetEnds(), now)
 	}
@@ -183,7 +190,12 @@
 			l.Send(termsFrame(e.terms))
 		}
 	case *wire.Frame_Terms:
-		e.onTerms(decodeTerms(b.Terms), l.Peer.Name)
+		terms := decodeTerms(b.Terms)
+		if err := terms.Check(); err != nil {
+			e.log.Warn("invalid configuration from another entry ignored", "peer", l.Peer.Name, "error", err.Error())
+			return
+		}
+		e.onTerms(terms, l.Peer.Name)
 	case *wire.Frame_CancelJob:
 		e.scheduler.Cancel(jobs.ID(b.CancelJob.GetJob()), e.clock.Now())
 	}
@@ -247,7 +259,7 @@
 		Host:         agent.Name,
 		Zone:         agent.Location.Zone,
 		ReportedFree: link.DecodeSize(m.GetFree()),
-		Speed:        max(m.GetSpeed(), minSpeed),
+		Speed:        speedWithinLimits(m.GetSpeed()),
 		Probation:    m.GetTrial(),
 		Stalled:      m.GetStalled(),
 		Ejected:      m.GetResting(),
@@ -262,9 +274,21 @@
 	return place.Report{AckedLaunch: m.GetSeenLaunch(), Worker: w}
 }
 
-// minSpeed is the lowest speed that decodeReport returns. A report without a speed has
-// speed 0, with which predicted run times would be infinite.
-const minSpeed = 0.01
+// minSpeed and maxSpeed are the limits of the speeds that decodeReport returns. A report
+// without a speed has speed 0, with which predicted run times would be infinite.
+const (
+	minSpeed = 0.01
+	maxSpeed = 100
+)
+
+// speedWithinLimits returns the valid speed that is nearest to v, or minSpeed if v is not a
+// number.
+func speedWithinLimits(v float64) float64 {
+	if math.IsNaN(v) {
+		return minSpeed
+	}
+	return min(max(v, minSpeed), maxSpeed)
+}
 
 func launchFrame(a place.Launch) *wire.Frame {
 	m := &wire.Launch{
--- a/internal/sched/members.go
+++ b/internal/sched/members.go
@@ -4,12 +4,14 @@
 	"context"
 
 	"github.com/turmericbarrow/turmericbarrow/internal/clock"
+	"github.com/turmericbarrow/turmericbarrow/internal/guard"
+	"github.com/turmericbarrow/turmericbarrow/internal/roster"
 )
 
 // memberList is the result of one read of the membership list.
 type memberList struct {
-	addresses []string
-	err       error
+	records []roster.Record
+	err     error
 }
 
 // refreshMembers renews this entry's record and reads the membership list when they are
@@ -25,7 +27,7 @@
 	if (!e.registered || now-e.recordWrittenAt >= membersIntervalMS) && !e.writingRecord && e.drainAt == 0 {
 		e.writingRecord, e.recordWrittenAt = true, now
 		e.storeCalls++
-		go func() { e.recordResults <- e.members.Join(ctx, e.settings.Self) }()
+		go func() { e.recordResults <- e.writeRecord(ctx) }()
 	}
 	if e.readingMembers {
 		return
@@ -33,13 +35,28 @@
 	e.readingMembers, e.membersReadAt = true, now
 	e.storeCalls++
 	go func() {
-		list, err := e.members.Entries(ctx)
-		e.memberLists <- memberList{addresses: list, err: err}
+		list := memberList{}
+		list.err = guard.Call("read the list of entries", func() (err error) {
+			list.records, err = e.members.Entries(ctx)
+			return err
+		})
+		e.memberLists <- list
 	}()
 }
 
-// onRecordResult handles the result of a Join or Leave. refreshMembers repeats a failed
-// Join unless the entry drains. A failed Leave is not repeated.
+// writeRecord writes this entry's record.
+func (e *Entry) writeRecord(ctx context.Context) error {
+	return guard.Call("write the entry's record", func() error { return e.members.Join(ctx, e.settings.Self) })
+}
+
+// removeRecord removes the record of an entry.
+func (e *Entry) removeRecord(ctx context.Context, address string) error {
+	return guard.Call("remove an entry's record", func() error { return e.members.Remove(ctx, address) })
+}
+
+// onRecordResult handles the result of a write or removal of this entry's record.
+// refreshMembers repeats a failed write unless the entry drains. A failed removal is not
+// repeated.
 func (e *Entry) onRecordResult(err error) {
 	e.storeCalls--
 	e.writingRecord = false
@@ -49,14 +66,38 @@
 	}
 }
 
-func (e *Entry) onMemberList(m memberList) {
+func (e *Entry) onMemberList(ctx context.Context, m memberList) {
 	e.storeCalls--
 	e.readingMembers = false
 	if reachable := m.err == nil; reachable != e.storeReachable {
 		e.storeReachable = reachable
 		e.log.Warn("store reachable for the list of entries", "reachable", reachable)
 	}
-	for _, address := range m.addresses {
+	if m.err != nil {
+		return
+	}
+	live, stale := e.listing.Update(m.records, e.clock.Now())
+	for _, address := range live {
 		e.dial(address)
 	}
+	if len(live) > 0 && live[0] == e.settings.Self.Address && len(stale) > 0 && e.drainAt == 0 {
+		e.removeStaleRecord(ctx, stale[0])
+	}
+}
+
+// removeStaleRecord removes the record of an entry that is gone. Only the live entry with the
+// first address does so, one record with each read of the list.
+func (e *Entry) removeStaleRecord(ctx context.Context, address string) {
+	e.log.Info("record of an entry that is gone removed", "address", address)
+	e.storeCalls++
+	go func() { e.removals <- e.removeRecord(ctx, address) }()
+}
+
+// onRemoval handles the result of the removal of a stale record. A failed one is repeated
+// after the next read of the list.
+func (e *Entry) onRemoval(err error) {
+	e.storeCalls--
+	if err != nil {
+		e.log.Warn("could not remove the record of an entry that is gone", "error", err.Error())
+	}
 }
--- a/internal/sched/metrics.go
+++ b/internal/sched/metrics.go
@@ -46,6 +46,10 @@
 	}
 }
 
+func (m *Metrics) recordPanic() {
+	m.set.GetOrCreateCounter("turmericbarrow_unexpected_errors_total").Inc()
+}
+
 func (m *Metrics) recordRunEnd(outcome jobs.Outcome) {
 	m.set.GetOrCreateCounter(fmt.Sprintf("turmericbarrow_runs_ended_total{end=%q}", outcome)).Inc()
 }
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -16,10 +16,12 @@
 	"github.com/turmericbarrow/turmericbarrow/internal/clock"
 	"github.com/turmericbarrow/turmericbarrow/internal/contr"
 	"github.com/turmericbarrow/turmericbarrow/internal/dlog"
+	"github.com/turmericbarrow/turmericbarrow/internal/guard"
 	"github.com/turmericbarrow/turmericbarrow/internal/host"
 	"github.com/turmericbarrow/turmericbarrow/internal/jobs"
 	"github.com/turmericbarrow/turmericbarrow/internal/link"
 	"github.com/turmericbarrow/turmericbarrow/internal/place"
+	"github.com/turmericbarrow/turmericbarrow/internal/roster"
 	"github.com/turmericbarrow/turmericbarrow/internal/runner"
 	"github.com/turmericbarrow/turmericbarrow/internal/wire"
 )
@@ -40,10 +42,10 @@
 type Members interface {
 	// Join writes or renews this entry's record on the list.
 	Join(ctx context.Context, self host.Host) error
-	// Leave removes this entry's record.
-	Leave(ctx context.Context, self host.Host) error
-	// Entries returns the link addresses of all entries on the list.
-	Entries(ctx context.Context) ([]string, error)
+	// Remove removes the record of an entry by its link address.
+	Remove(ctx context.Context, address string) error
+	// Entries returns the records of all entries on the list.
+	Entries(ctx context.Context) ([]roster.Record, error)
 }
 
 // Settings configures an entry for sized jobs.
@@ -127,8 +129,10 @@
 	inbox       chan message
 	newTerms    chan *contr.Terms
 	memberLists chan memberList
-	// recordResults receives the results of the calls of Members.Join and Members.Leave.
-	recordResults  chan error
+	// recordResults receives the results of writes and removals of this entry's record.
+	recordResults chan error
+	// removals receives the results of the removals of stale records.
+	removals       chan error
 	drainRequested chan struct{}
 
 	// waiters holds the callers that wait for each unanswered job.
@@ -146,6 +150,7 @@
 	// while it is in progress.
 	membersReadAt  clock.Millis
 	readingMembers bool
+	listing        *roster.Listing
 	// registered is set while the last write or removal of this entry's record succeeded.
 	// The last write began at recordWrittenAt; writingRecord is set while it is in
 	// progress.
@@ -188,6 +193,8 @@
 		newTerms:        make(chan *contr.Terms, 1),
 		memberLists:     make(chan memberList, 1),
 		recordResults:   make(chan error, 1),
+		removals:        make(chan error, 1),
+		listing:         roster.NewListing(),
 		drainRequested:  make(chan struct{}, 1),
 		waiters:         map[jobs.ID][]*waiter{},
 		agents:          map[string]*link.Link{},
@@ -254,6 +261,8 @@
 			e.storeCalls--
 		case <-e.recordResults:
 			e.storeCalls--
+		case <-e.removals:
+			e.storeCalls--
 		case m := <-e.inbox:
 			e.scheduler.Draining = true
 			m.apply(e) // the sender waits for an answer
@@ -267,30 +276,35 @@
 	defer t.Stop()
 	shortTick := true
 	for {
+		var source *link.Link
+		var handle func()
+		ticked := false
 		select {
 		case ev := <-e.node.Events():
-			e.checkPause()
-			e.onLinkEvent(ev)
+			source, handle = ev.Link, func() { e.onLinkEvent(ev) }
 		case m := <-e.inbox:
-			m.apply(e)
+			handle = func() { m.apply(e) }
 		case terms := <-e.newTerms:
-			e.onTerms(terms, "store")
+			handle = func() { e.onTerms(terms, "store") }
 		case m := <-e.memberLists:
-			e.onMemberList(m)
+			handle = func() { e.onMemberList(ctx, m) }
 		case err := <-e.recordResults:
-			e.onRecordResult(err)
+			handle = func() { e.onRecordResult(err) }
+		case err := <-e.removals:
+			handle = func() { e.onRemoval(err) }
 		case <-t.C:
-			e.checkPause()
-			e.onTick(ctx)
-			shortTick = e.busy()
-			t.Reset(tickInterval(shortTick))
+			ticked, handle = true, func() { e.onTick(ctx) }
 		case <-e.drainRequested:
-			e.startDrain(ctx)
+			handle = func() { e.startDrain(ctx) }
 		case <-ctx.Done():
 			return errors.Annotate(ctx.Err(), "run entry")
 		}
-		e.performActions()
-		if !shortTick && e.busy() {
+		e.checkPause()
+		e.handleGuarded(source, handle)
+		if ticked {
+			shortTick = e.busy()
+			t.Reset(tickInterval(shortTick))
+		} else if !shortTick && e.busy() {
 			shortTick = true
 			t.Reset(busyInterval)
 		}
@@ -300,6 +314,31 @@
 	}
 }
 
+// handleGuarded handles one message and performs the resulting actions. If that panics, the
+// state of the jobs may be inconsistent: the link that the message came from is closed and
+// all jobs are abandoned, as after a pause, so that callers get an answer and agents stop
+// the runs. If that fails as well, the process ends, and its next incarnation starts without
+// jobs.
+func (e *Entry) handleGuarded(source *link.Link, handle func()) {
+	err := guard.Run("handle message", func() {
+		handle()
+		e.performActions()
+	})
+	if err == nil {
+		return
+	}
+	e.metrics.recordPanic()
+	e.log.Error("unexpected error; abandoning all jobs", "error", err.Error(), "jobs", len(e.scheduler.Jobs))
+	if source != nil {
+		source.Close("unexpected error")
+	}
+	e.abandonAll("unexpected error")
+	e.performActions()
+	for id := range e.waiters {
+		e.replyTo(id, Reply{Verdict: place.VerdictUnknown, Reason: place.ReasonWorkerLost})
+	}
+}
+
 // busy reports whether the short tick is needed: there are jobs to place or the entry
 // drains.
 func (e *Entry) busy() bool {
@@ -318,7 +357,11 @@
 func (e *Entry) followTerms(ctx context.Context, done chan<- error) {
 	version := int64(0)
 	for ctx.Err() == nil {
-		terms, err := e.termsSource.Next(ctx, version)
+		var terms *contr.Terms
+		err := guard.Call("read the configuration", func() (err error) {
+			terms, err = e.termsSource.Next(ctx, version)
+			return err
+		})
 		if err != nil {
 			e.log.Warn("configuration not read from the store", "version", version, "error", err.Error())
 			clock.Wait(ctx, termsRetryMS)
@@ -360,8 +403,15 @@
 		return
 	}
 	e.log.Warn("process was paused; abandoning all jobs", "paused_ms", int64(paused), "jobs", len(e.scheduler.Jobs))
+	e.abandonAll("suspended")
+	e.performActions()
+}
+
+// abandonAll closes the links to all agents and abandons all jobs. The agents stop the runs,
+// and list those that they still have when they link again.
+func (e *Entry) abandonAll(reason string) {
 	for incarnation, l := range e.agents {
-		l.Close("suspended")
+		l.Close(reason)
 		delete(e.agents, incarnation)
 		e.scheduler.AgentDisconnected(incarnation, e.clock.Now())
 	}
@@ -393,7 +443,7 @@
 	e.drainDeadline = now + e.settings.DrainMS
 	e.log.Info("leaving", "jobs", len(e.scheduler.Jobs), "serve_on_ms", int64(e.settings.ShutdownDelayMS))
 	e.storeCalls++
-	go func() { e.recordResults <- e.members.Leave(ctx, e.settings.Self) }()
+	go func() { e.recordResults <- e.removeRecord(ctx, e.settings.Self.Address) }()
 }
 
 // advanceDrain makes the scheduler refuse new jobs once the shutdown delay has passed. It
--- a/internal/sched/sched_test.go
+++ b/internal/sched/sched_test.go
@@ -4,15 +4,22 @@
 	"context"
 	"io"
 	"log/slog"
+	"math"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
 
 	"github.com/turmericbarrow/turmericbarrow/internal/clock"
 	"github.com/turmericbarrow/turmericbarrow/internal/contr"
 	"github.com/turmericbarrow/turmericbarrow/internal/host"
+	"github.com/turmericbarrow/turmericbarrow/internal/jobs"
+	"github.com/turmericbarrow/turmericbarrow/internal/link"
+	"github.com/turmericbarrow/turmericbarrow/internal/place"
+	"github.com/turmericbarrow/turmericbarrow/internal/roster"
 	"github.com/turmericbarrow/turmericbarrow/internal/wire"
 )
 
@@ -24,9 +31,9 @@
 	return nil
 }
 
-func (f fakeMembers) Leave(context.Context, host.Host) error { return nil }
+func (f fakeMembers) Remove(context.Context, string) error { return nil }
 
-func (f fakeMembers) Entries(context.Context) ([]string, error) { return nil, nil }
+func (f fakeMembers) Entries(context.Context) ([]roster.Record, error) { return nil, nil }
 
 // noTerms is a terms source without a configuration.
 type noTerms struct{}
@@ -70,3 +77,125 @@
 	require.Equal(t, []string{"l"}, second.Worker.Labels)
 	require.False(t, second.Worker.Closed)
 }
+
+func newTestEntry(t *testing.T) *Entry {
+	self := host.Host{Name: "e", Incarnation: host.NewIncarnation(), Role: host.RoleEntry}
+	e := New(Settings{Self: self}, clock.New(), noTerms{}, fakeMembers{joins: make(chan struct{}, 1000)}, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	e.scheduler.UpdateWorker(place.Report{Worker: place.Worker{Agent: "a", ID: "w", Fleet: "f", Speed: 1,
+		Capacity: jobs.Size{MilliCPU: 100}}}, e.clock.Now())
+	return e
+}
+
+func newTestRequest(id string) Request {
+	return Request{Spec: jobs.Spec{ID: jobs.ID(id), Steps: []jobs.Step{{Count: 1, Size: jobs.Size{MilliCPU: 50}, EstimateMS: 10_000}}},
+		Queue: contr.Queue{Fleet: "f", Stretch: 2}}
+}
+
+// A process that was stopped or suspended has lost its runs. Whatever message it handles
+// first, it must not decide anything from what it knew before.
+func TestJobsAreAbandonedAfterPauseBeforeAnyMessageIsHandled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := newTestEntry(t)
+		// The only worker is busy, so that the job waits.
+		e.scheduler.Workers["a"].ReportedFree = jobs.Size{}
+		e.pause = clock.NewPauseDetector(0, 2) // a wait of over 2 ms counts as a pause
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error, 1)
+		go func() { done <- e.loop(ctx) }()
+		first := make(chan Reply, 1)
+		go func() {
+			r, _ := e.Submit(ctx, newTestRequest("1"))
+			first <- r
+		}()
+		synctest.Wait()
+		time.Sleep(5 * time.Millisecond) // less than a tick
+		require.Equal(t, jobs.State(""), e.JobState(ctx, "1"))
+		require.Equal(t, place.ReasonWorkerLost, (<-first).Reason)
+		cancel()
+		<-done
+	})
+}
+
+// panicMessage is a message whose handling fails.
+type panicMessage struct{}
+
+func (panicMessage) apply(*Entry) { panic("bug") }
+
+// A bug in the handling of one message must not end the process. Its callers get an answer
+// and it serves the next job.
+func TestPanicInMessageHandlingEndsNoProcess(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := newTestEntry(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error, 1)
+		go func() { done <- e.loop(ctx) }()
+		replies := make(chan Reply, 1)
+		go func() {
+			r, _ := e.Submit(ctx, newTestRequest("1"))
+			replies <- r
+		}()
+		synctest.Wait()
+		e.inbox <- panicMessage{}
+		require.Contains(t, []place.Verdict{place.VerdictUnknown, place.VerdictRefused}, (<-replies).Verdict)
+		go func() {
+			r, _ := e.Submit(ctx, newTestRequest("2"))
+			replies <- r
+		}()
+		require.NotZero(t, (<-replies).Verdict)
+		cancel()
+		<-done
+	})
+}
+
+func TestSpeedOutOfRangeIsLimited(t *testing.T) {
+	e := newTestEntry(t)
+	agent := host.Host{Name: "a", Incarnation: "i", Role: host.RoleAgent}
+	for _, v := range []float64{math.NaN(), math.Inf(-1), -1, 0} {
+		require.Equal(t, minSpeed, e.decodeReport(agent, &wire.Room{Speed: v}).Worker.Speed)
+	}
+	require.Equal(t, float64(maxSpeed), e.decodeReport(agent, &wire.Room{Speed: math.Inf(1)}).Worker.Speed)
+}
+
+// No frame from an agent or another entry, whatever it holds, may end the process.
+func TestFramesWithAnyValuesAreHandled(t *testing.T) {
+	e := newTestEntry(t)
+	agent := &link.Link{Peer: host.Host{Name: "a", Incarnation: "a", Role: host.RoleAgent}}
+	other := &link.Link{Peer: host.Host{Name: "o", Incarnation: "o", Role: host.RoleEntry}}
+	e.agents["a"], e.linkedEntries["o"] = agent, &linkedEntry{link: other}
+	rapid.Check(t, func(rt *rapid.T) {
+		content := rapid.SliceOfN(rapid.Byte(), 0, 200).Draw(rt, "content")
+		f := &wire.Frame{}
+		if proto.Unmarshal(content, f) != nil || f.GetRoom() != nil {
+			return
+		}
+		e.onFrame(agent, f)
+		e.onFrame(other, f)
+		e.scheduler.Tick(e.clock.Now())
+	})
+	for _, f := range oddFrames() {
+		e.onFrame(agent, f)
+		e.onFrame(other, f)
+		e.scheduler.Tick(e.clock.Now())
+	}
+	require.Nil(t, e.terms, "terms out of range are not put in force")
+}
+
+// oddFrames returns frames whose values are missing or at the limits of their types.
+func oddFrames() []*wire.Frame {
+	return []*wire.Frame{
+		{},
+		{Body: &wire.Frame_Inventory{Inventory: &wire.Inventory{Held: []*wire.HeldTask{{}, {Job: "j", Step: -1, Index: math.MaxInt32, Run: math.MinInt64}}}}},
+		{Body: &wire.Frame_Ends{Ends: &wire.Ends{Ends: []*wire.TaskEnd{{}, {Job: "j", Step: -1, End: 99, RanMs: math.MinInt64}}}}},
+		{Body: &wire.Frame_Terms{Terms: &wire.Terms{}}},
+		{Body: &wire.Frame_Terms{Terms: &wire.Terms{Version: math.MaxInt64}}},
+		{Body: &wire.Frame_Terms{Terms: &wire.Terms{Version: 3, Queues: []*wire.Queue{{Stretch: math.NaN()}}}}},
+		{Body: &wire.Frame_Terms{Terms: &wire.Terms{Version: 3, Queues: []*wire.Queue{{SlackMs: math.MaxInt64}}}}},
+		{Body: &wire.Frame_Pulse{}},
+		{Body: &wire.Frame_Pulse{Pulse: &wire.Pulse{TermsVersion: math.MinInt64, Waiting: map[string]int32{"": math.MinInt32}}}},
+		{Body: &wire.Frame_CancelJob{}},
+		{Body: &wire.Frame_Roster{Roster: &wire.Roster{Entries: []*wire.Hello{{Address: "127.0.0.1:99999"}}}}},
+		{Body: &wire.Frame_Launch{}},
+		{Body: &wire.Frame_Halt{}},
+		{Body: &wire.Frame_Hello{}},
+	}
+}
