sched, roster: Link entries by a bounded random graph

Cause: every entry linked to every other (54 links each at 55 entries), sent its state four times a second on each, sent the whole roster to all its agents for each entry that came up (E x E rosters at a start), and redialed half of the entries after each read of the list, because a link that the other end had dialed did not count. Agents ranked all entries by hash at every tick.

Change: one selector for entries and agents (roster.Selector). Up to nine entries link to each other as before; beyond that each dials four by rendezvous order. Links beyond the first in order are closed once unused. Links between entries carry a frame a second and time out after 2.6 s. Rosters are sent once a second at most. Cancellations are collected and passed on once by each entry. The number of waiting jobs at unlinked entries is estimated. The list is read more often right after the start.

A test of 14 entries and 20 agents failed while cancellations were not passed on by entries that saw a mesh.

--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -4,6 +4,7 @@
 import (
 	"crypto/rand"
 	"encoding/hex"
+	"net/netip"
 
 	"github.com/turmericbarrow/turmericbarrow/internal/zone"
 )
@@ -44,3 +45,9 @@
 	rand.Read(b)
 	return hex.EncodeToString(b)
 }
+
+// ValidAddress reports whether address is an IP address with a port that a peer can listen on.
+func ValidAddress(address string) bool {
+	a, err := netip.ParseAddrPort(address)
+	return err == nil && a.Port() != 0 && !a.Addr().IsUnspecified() && !a.Addr().IsMulticast()
+}
--- a/internal/link/node.go
+++ b/internal/link/node.go
@@ -5,7 +5,6 @@
 	"crypto/tls"
 	"log/slog"
 	"net"
-	"net/netip"
 	"time"
 
 	"github.com/juju/errors"
@@ -322,12 +321,6 @@
 	return n.runLink(ctx, newLink(conn, stream, address))
 }
 
-// ValidAddress reports whether address is an IP address with a port that a peer can listen on.
-func ValidAddress(address string) bool {
-	a, err := netip.ParseAddrPort(address)
-	return err == nil && a.Port() != 0 && !a.Addr().IsUnspecified() && !a.Addr().IsMulticast()
-}
-
 // networkFor returns the network of an address. IPv4 is explicit because hosts may lack
 // IPv6.
 func networkFor(a *net.UDPAddr) string {
--- a/internal/roster/listing.go
+++ b/internal/roster/listing.go
@@ -44,6 +44,16 @@
 	return &Listing{seen: map[string]*seenRecord{}}
 }
 
+// minReadIntervalMS is the interval between reads of the list right after the start.
+const minReadIntervalMS = clock.Second
+
+// ReadInterval returns the interval between reads of the list by a process of the given age.
+// When all processes start at once, the first reads miss those that started last, so that
+// the interval begins short and grows up to longest.
+func ReadInterval(age, longest clock.Millis) clock.Millis {
+	return min(max(age/2, minReadIntervalMS), longest)
+}
+
 // Update takes the result of a read and returns the addresses of the live entries and of
 // the stale records, both in order. A record that was not seen before is live.
 func (l *Listing) Update(records []Record, now clock.Millis) (live, stale []string) {
--- a/internal/runner/links.go
+++ b/internal/runner/links.go
@@ -25,7 +25,7 @@
 
 // queryEntries queries the store for the list of entries, more often while there is no link.
 func (a *Agent) queryEntries(ctx context.Context, now clock.Millis) {
-	interval := linkedQueryMS
+	interval := roster.ReadInterval(now-a.startedAt, linkedQueryMS)
 	if len(a.links) == 0 {
 		interval = unlinkedQueryMS
 	}
@@ -65,19 +65,30 @@
 	a.updateDials(now)
 }
 
-// updateDials starts and stops dialing entries as the selector decides.
+// updateDials starts and stops dialing entries as the selector decides. An excess link is
+// closed once the agent has no runs of its entry.
 func (a *Agent) updateDials(now clock.Millis) {
+	a.selectedAt = now
 	linked := map[string]bool{}
-	for _, l := range a.links {
+	unused := map[string]bool{}
+	entriesWithRuns := a.supervisor.EntriesWithRuns()
+	for incarnation, l := range a.links {
 		linked[l.link.Peer.Address] = true
+		unused[l.link.Peer.Address] = !entriesWithRuns[incarnation]
 	}
-	dial, stopDialing := a.selector.Select(linked, now)
-	for _, address := range dial {
+	selection := a.selector.Select(linked, now)
+	for _, address := range selection.Dial {
 		a.node.Dial(address)
 	}
-	for _, address := range stopDialing {
+	for _, address := range selection.StopDialing {
 		a.node.StopDialing(address)
 	}
+	for _, address := range selection.Excess {
+		if unused[address] {
+			a.node.StopDialing(address)
+			a.selector.DialStopped(address)
+		}
+	}
 }
 
 func (a *Agent) onLinkEvent(e link.Event) {
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -85,6 +85,12 @@
 	KeepaliveMS   clock.Millis = 250
 	LinkTimeoutMS clock.Millis = 650
 
+	// MaxLinks is the number of entries that an agent links to. It is enough to spread uneven
+	// load of the entries over all workers; each link costs processor time on both ends.
+	MaxLinks = 6
+	// selectIntervalMS is the interval at which the dialed entries are reviewed.
+	selectIntervalMS clock.Millis = 250
+
 	// busyInterval is the tick interval while work is due soon, idleInterval otherwise.
 	busyInterval = 20 * time.Millisecond
 	idleInterval = 100 * time.Millisecond
@@ -136,8 +142,11 @@
 	// lastReceived is when a frame last arrived from each entry. It outlives the link
 	// while the worker may have runs of the entry.
 	lastReceived map[string]clock.Millis
-	selector     *EntrySelector
-	listing      *roster.Listing
+	selector     *roster.Selector
+	startedAt    clock.Millis
+	// selectedAt is when the selector last selected the entries to dial.
+	selectedAt clock.Millis
+	listing    *roster.Listing
 	// activeCalls counts the worker and store calls in flight.
 	activeCalls int
 	// polling is set while a poll is in flight.
@@ -179,8 +188,9 @@
 		drainRequested: make(chan struct{}, 1),
 		links:          map[string]*entryLink{},
 		lastReceived:   map[string]clock.Millis{},
-		selector:       NewEntrySelector(s.Self.Name, s.Seeds, c.Now()),
+		selector:       roster.NewSelector(s.Self.Name, s.Seeds, MaxLinks, MaxLinks, c.Now()),
 		listing:        roster.NewListing(),
+		startedAt:      c.Now(),
 		recordWriter:   newRecordWriter(workerStore),
 	}
 	a.node = link.New(link.Settings{Self: s.Self, TLS: s.TLS, IdleTimeout: LinkTimeoutMS}, log)
@@ -387,7 +397,9 @@
 	a.sendKeepalives()
 	a.queryEntries(ctx, now)
 	a.saveWorkerRecord(ctx)
-	a.updateDials(now)
+	if now-a.selectedAt >= selectIntervalMS {
+		a.updateDials(now)
+	}
 }
 
 // logWorker logs the worker's state if it has changed.
--- a/internal/runs/supervisor.go
+++ b/internal/runs/supervisor.go
@@ -385,6 +385,15 @@
 	return out
 }
 
+// EntriesWithRuns returns the entries for which the agent holds runs, by incarnation.
+func (s *Supervisor) EntriesWithRuns() map[string]bool {
+	out := map[string]bool{}
+	for k := range s.runs {
+		out[k.entry] = true
+	}
+	return out
+}
+
 // NeedsFrequentTicks reports whether Tick has to be called at short intervals: while runs are
 // queued or being stopped, an entry is disconnected, the claim window is open, or a restored
 // worker is unconfirmed.
--- /dev/null
+++ b/internal/sched/cancel.go
@@ -0,0 +1,106 @@
+package sched
+
+import (
+	"github.com/turmericbarrow/turmericbarrow/internal/clock"
+	"github.com/turmericbarrow/turmericbarrow/internal/jobs"
+	"github.com/turmericbarrow/turmericbarrow/internal/link"
+	"github.com/turmericbarrow/turmericbarrow/internal/wire"
+)
+
+const (
+	// cancelIntervalMS is how long cancellations are collected before they are passed on.
+	// A storm of cancellations then costs a bounded number of frames.
+	cancelIntervalMS clock.Millis = 50
+	// cancelMemoryMS is how long a cancellation is remembered, so that it is passed on once.
+	// It is longer than one needs to reach all entries.
+	cancelMemoryMS clock.Millis = 5000
+	// maxRememberedCancels bounds the memory of the relay.
+	maxRememberedCancels = 20_000
+)
+
+// cancelRelay passes cancellations of jobs that other entries hold on to all entries: each
+// entry passes a cancellation that is new to it on to the entries that it is linked to.
+type cancelRelay struct {
+	// seenAt is when each remembered cancellation arrived; order lists them, oldest first.
+	seenAt map[jobs.ID]clock.Millis
+	order  []jobs.ID
+	// pending holds the cancellations to be passed on, by the incarnation of the entry that
+	// they came from; "" for callers of this entry.
+	pending map[string][]jobs.ID
+	sentAt  clock.Millis
+}
+
+func newCancelRelay() *cancelRelay {
+	return &cancelRelay{seenAt: map[jobs.ID]clock.Millis{}, pending: map[string][]jobs.ID{}}
+}
+
+// add records a cancellation to be passed on, unless it is remembered.
+func (r *cancelRelay) add(id jobs.ID, from string, now clock.Millis) {
+	r.forget(now)
+	if _, seen := r.seenAt[id]; seen || len(r.order) >= maxRememberedCancels {
+		return
+	}
+	r.seenAt[id] = now
+	r.order = append(r.order, id)
+	r.pending[from] = append(r.pending[from], id)
+}
+
+// forget drops the cancellations that need not be remembered any longer.
+func (r *cancelRelay) forget(now clock.Millis) {
+	for len(r.order) > 0 && now-r.seenAt[r.order[0]] > cancelMemoryMS {
+		delete(r.seenAt, r.order[0])
+		r.order = r.order[1:]
+	}
+}
+
+// take returns the cancellations to be passed on now, by the entry that they came from. It
+// returns nil if there are none or the last ones were taken a moment ago.
+func (r *cancelRelay) take(now clock.Millis) map[string][]jobs.ID {
+	if len(r.pending) == 0 || now-r.sentAt < cancelIntervalMS {
+		return nil
+	}
+	taken := r.pending
+	r.pending, r.sentAt = map[string][]jobs.ID{}, now
+	return taken
+}
+
+// idsExcept returns all cancellations but those that came from the given entry.
+func idsExcept(byOrigin map[string][]jobs.ID, entry string) []string {
+	var ids []string
+	for origin, cancelled := range byOrigin {
+		if origin == entry {
+			continue
+		}
+		for _, id := range cancelled {
+			ids = append(ids, string(id))
+		}
+	}
+	return ids
+}
+
+// sendCancels passes the collected cancellations on to the linked entries.
+func (e *Entry) sendCancels(now clock.Millis) {
+	taken := e.cancels.take(now)
+	if taken == nil {
+		return
+	}
+	for incarnation, other := range e.linkedEntries {
+		if ids := idsExcept(taken, incarnation); len(ids) > 0 {
+			// Earlier versions read the first job only.
+			m := &wire.CancelJob{Job: ids[0], Jobs: ids[1:]}
+			other.link.Send(&wire.Frame{Body: &wire.Frame_CancelJob{CancelJob: m}})
+		}
+	}
+}
+
+// onCancels cancels the jobs that this entry holds, and passes the other cancellations on.
+// An entry can't tell whether all entries are linked to each other, since it may not have
+// seen the newest ones on the list.
+func (e *Entry) onCancels(l *link.Link, m *wire.CancelJob) {
+	now := e.clock.Now()
+	for _, id := range append(m.GetJobs(), m.GetJob()) {
+		if !e.scheduler.Cancel(jobs.ID(id), now) {
+			e.cancels.add(jobs.ID(id), l.Peer.Incarnation, now)
+		}
+	}
+}
--- a/internal/sched/links.go
+++ b/internal/sched/links.go
@@ -43,6 +43,7 @@
 	incarnation := l.Peer.Incarnation
 	if incarnation == e.settings.Self.Incarnation {
 		e.node.StopDialing(l.DialedAddress)
+		e.selector.Remove(l.DialedAddress)
 		l.Close("a link to itself")
 		return
 	}
@@ -55,14 +56,24 @@
 		e.closeDuplicate(old.link)
 	}
 	e.linkedEntries[incarnation] = &linkedEntry{link: l}
-	e.scheduler.Entries = len(e.linkedEntries) + 1
+	e.rosterChanged = true
 	e.log.Info("link up", "peer", l.Peer.Name, "role", string(l.Peer.Role))
 	l.Send(e.entryStateFrame())
 	if e.terms != nil {
 		l.Send(termsFrame(e.terms))
 	}
+}
+
+// sendRoster tells the agents of changes among the linked entries. Changes that follow each
+// other, such as at the start of all entries, are sent together.
+func (e *Entry) sendRoster(now clock.Millis) {
+	if !e.rosterChanged || now-e.rosterSentAt < rosterIntervalMS {
+		return
+	}
+	e.rosterChanged, e.rosterSentAt = false, now
+	f := e.rosterFrame()
 	for _, a := range e.agents {
-		a.Send(e.rosterFrame())
+		a.Send(f)
 	}
 }
 
@@ -70,7 +81,7 @@
 func (e *Entry) closeDuplicate(l *link.Link) {
 	if l.DialedAddress != "" {
 		e.node.StopDialing(l.DialedAddress)
-		delete(e.dialedAddresses, l.DialedAddress)
+		e.selector.DialStopped(l.DialedAddress)
 	}
 	l.Close("another link to this entry is up")
 }
@@ -84,31 +95,41 @@
 	}
 	if other := e.linkedEntries[incarnation]; other != nil && other.link == ev.Link {
 		delete(e.linkedEntries, incarnation)
-		e.scheduler.Entries = len(e.linkedEntries) + 1
 		e.log.Info("link down", "peer", ev.Link.Peer.Name, "role", "entry", "error", errors.Details(ev.Err))
 	}
 }
 
-// dial records that address is configured or listed now, and starts to dial it unless it
-// is already being dialed. It ignores an invalid address and this entry's own.
-func (e *Entry) dial(address string) {
-	if !link.ValidAddress(address) || address == e.settings.Self.Address {
-		return
+// addListed records that an entry's address is listed now. It ignores this entry's own.
+func (e *Entry) addListed(address string, now clock.Millis) {
+	if address != e.settings.Self.Address {
+		e.selector.Add(address, now)
 	}
-	if _, dialed := e.dialedAddresses[address]; !dialed {
-		e.node.Dial(address)
-	}
-	e.dialedAddresses[address] = e.clock.Now()
 }
 
-// linkedTo reports whether this entry has a link to the entry at the given address.
-func (e *Entry) linkedTo(address string) bool {
+// updateDials starts and stops dialing entries as the selector decides.
+func (e *Entry) updateDials(now clock.Millis) {
+	e.selectedAt = now
+	linked := map[string]bool{}
 	for _, other := range e.linkedEntries {
-		if other.link.DialedAddress == address || other.link.Peer.Address == address {
-			return true
+		linked[other.link.Peer.Address] = true
+	}
+	selection := e.selector.Select(linked, now)
+	for _, address := range selection.Dial {
+		if address != e.settings.Self.Address {
+			e.node.Dial(address)
 		}
 	}
-	return false
+	for _, address := range append(selection.StopDialing, selection.Excess...) {
+		e.node.StopDialing(address)
+		e.selector.DialStopped(address)
+	}
+	// Each worker is shared by the entries that its agent links to.
+	e.scheduler.Entries = min(e.entryCount(), runner.MaxLinks)
+}
+
+// entryCount returns the number of entries that are listed or linked, including this one.
+func (e *Entry) entryCount() int {
+	return 1 + max(e.selector.Known(), len(e.linkedEntries))
 }
 
 func (e *Entry) onFrame(l *link.Link, f *wire.Frame) {
@@ -197,24 +218,24 @@
 		}
 		e.onTerms(terms, l.Peer.Name)
 	case *wire.Frame_CancelJob:
-		e.scheduler.Cancel(jobs.ID(b.CancelJob.GetJob()), e.clock.Now())
+		e.onCancels(l, b.CancelJob)
 	}
 }
 
 // sendKeepalives sends frames on links on which this entry sent nothing for a while.
-// Linked entries receive this entry's state, more often on links that this entry dialed,
-// since the dialing end keeps a link alive. Agents that hold runs receive an empty frame,
+// Linked entries receive this entry's state. Agents that hold runs receive an empty frame,
 // since they renew the leases of this entry's runs only while they receive frames from it.
 func (e *Entry) sendKeepalives() {
 	now := time.Now()
+	var state *wire.Frame
 	for _, other := range e.linkedEntries {
-		interval := entryStateIntervalMS
-		if other.link.DialedAddress != "" {
-			interval = runner.KeepaliveMS
+		if now.Sub(other.link.LastSentAt) < entryStateIntervalMS.Duration() {
+			continue
 		}
-		if now.Sub(other.link.LastSentAt) >= interval.Duration() {
-			other.link.Send(e.entryStateFrame())
+		if state == nil {
+			state = e.entryStateFrame()
 		}
+		other.link.Send(state)
 	}
 	for incarnation := range e.scheduler.AgentsWithRuns() {
 		if l := e.agents[incarnation]; l != nil && now.Sub(l.LastSentAt) >= agentKeepaliveMS.Duration() {
--- a/internal/sched/members.go
+++ b/internal/sched/members.go
@@ -17,7 +17,7 @@
 // refreshMembers renews this entry's record and reads the membership list when they are
 // due. Both calls run in goroutines of their own.
 func (e *Entry) refreshMembers(ctx context.Context, now clock.Millis) {
-	interval := membersIntervalMS
+	interval := roster.ReadInterval(now-e.startedAt, membersIntervalMS)
 	if len(e.linkedEntries) == 0 || !e.registered {
 		interval = membersAloneIntervalMS
 	}
@@ -76,10 +76,12 @@
 	if m.err != nil {
 		return
 	}
-	live, stale := e.listing.Update(m.records, e.clock.Now())
+	now := e.clock.Now()
+	live, stale := e.listing.Update(m.records, now)
 	for _, address := range live {
-		e.dial(address)
+		e.addListed(address, now)
 	}
+	e.updateDials(now)
 	if len(live) > 0 && live[0] == e.settings.Self.Address && len(stale) > 0 && e.drainAt == 0 {
 		e.removeStaleRecord(ctx, stale[0])
 	}
--- a/internal/sched/messages.go
+++ b/internal/sched/messages.go
@@ -8,7 +8,6 @@
 	"github.com/turmericbarrow/turmericbarrow/internal/contr"
 	"github.com/turmericbarrow/turmericbarrow/internal/jobs"
 	"github.com/turmericbarrow/turmericbarrow/internal/place"
-	"github.com/turmericbarrow/turmericbarrow/internal/wire"
 )
 
 // message is a request from another goroutine. The entry's goroutine calls apply.
@@ -94,22 +93,29 @@
 }
 
 func (m cancelRequest) apply(e *Entry) {
-	held := e.scheduler.Cancel(m.id, e.clock.Now())
+	now := e.clock.Now()
+	held := e.scheduler.Cancel(m.id, now)
 	if !held {
-		f := &wire.Frame{Body: &wire.Frame_CancelJob{CancelJob: &wire.CancelJob{Job: string(m.id)}}}
-		for _, other := range e.linkedEntries {
-			other.link.Send(f)
-		}
+		e.cancels.add(m.id, "", now)
 	}
 	m.answer <- held
 }
 
 func (m unstartedJobsQuery) apply(e *Entry) {
-	n := e.scheduler.UnstartedJobs(m.queue)
+	atLinked := 0
 	for _, other := range e.linkedEntries {
-		n += int(other.unstartedJobs[m.queue])
+		atLinked += int(other.unstartedJobs[m.queue])
+	}
+	m.answer <- e.scheduler.UnstartedJobs(m.queue) + e.scaleToAllEntries(atLinked)
+}
+
+// scaleToAllEntries returns the number at all other entries, estimated from the number at the
+// linked ones. It is exact while all entries are linked.
+func (e *Entry) scaleToAllEntries(atLinked int) int {
+	if len(e.linkedEntries) == 0 || e.selector.Mesh() {
+		return atLinked
 	}
-	m.answer <- n
+	return atLinked * (e.entryCount() - 1) / len(e.linkedEntries)
 }
 
 // Gauges is a snapshot of an entry's state for its metrics.
@@ -174,14 +180,15 @@
 	return query(ctx, e, func(c chan jobs.State) message { return stateQuery{id: id, answer: c} })
 }
 
-// Cancel cancels an unanswered job that this entry holds. For any other job it sends the
-// cancellation to all linked entries and returns false.
+// Cancel cancels an unanswered job that this entry holds. For any other job it passes the
+// cancellation on to all entries and returns false.
 func (e *Entry) Cancel(ctx context.Context, id jobs.ID) bool {
 	return query(ctx, e, func(c chan bool) message { return cancelRequest{id: id, answer: c} })
 }
 
-// UnstartedJobs returns the number of a queue's unstarted jobs at this entry and at the
-// linked entries, according to the state that they last sent.
+// UnstartedJobs returns the number of a queue's unstarted jobs at all entries. The other
+// entries are counted by the state that the linked ones last sent; where not all entries are
+// linked, the number is an estimate.
 func (e *Entry) UnstartedJobs(ctx context.Context, queue string) int {
 	return query(ctx, e, func(c chan int) message { return unstartedJobsQuery{queue: queue, answer: c} })
 }
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -22,7 +22,6 @@
 	"github.com/turmericbarrow/turmericbarrow/internal/link"
 	"github.com/turmericbarrow/turmericbarrow/internal/place"
 	"github.com/turmericbarrow/turmericbarrow/internal/roster"
-	"github.com/turmericbarrow/turmericbarrow/internal/runner"
 	"github.com/turmericbarrow/turmericbarrow/internal/wire"
 )
 
@@ -80,12 +79,20 @@
 	// missing record is written again as often.
 	membersIntervalMS      clock.Millis = 20_000
 	membersAloneIntervalMS clock.Millis = 1000
-	// unlistedGraceMS is how long the entry keeps dialing an unlinked address that is no
-	// longer on the list.
-	unlistedGraceMS clock.Millis = 30_000
+	// entryLinks is the number of other entries that the entry dials, and maxMeshEntries the
+	// number of other entries up to which it dials all of them. With the links that others
+	// dial, four keep a fleet of any size connected while a tenth of it is gone.
+	entryLinks     = 4
+	maxMeshEntries = 8
+	// selectIntervalMS is the interval at which the dialed entries are reviewed.
+	selectIntervalMS clock.Millis = 250
 	// entryStateIntervalMS is how often the entry sends linked entries its number of
 	// unstarted jobs and its configuration version, if it sent nothing else on the link.
 	entryStateIntervalMS clock.Millis = 1000
+	// entryLinkTimeoutMS is how long a link to another entry may receive nothing.
+	entryLinkTimeoutMS clock.Millis = 2600
+	// rosterIntervalMS is the shortest interval between two rosters to the agents.
+	rosterIntervalMS clock.Millis = 1000
 	// agentKeepaliveMS is how long the entry may send nothing to an agent that holds runs
 	// of this entry.
 	agentKeepaliveMS clock.Millis = 200
@@ -141,9 +148,16 @@
 	// once the agent's inventory has arrived over it.
 	agents        map[string]*link.Link
 	linkedEntries map[string]*linkedEntry
-	// dialedAddresses holds the addresses that the node dials, with the time at which each
-	// was last configured or listed.
-	dialedAddresses map[string]clock.Millis
+	startedAt     clock.Millis
+	// selector selects the entries to dial; selectedAt is when it last did.
+	selector   *roster.Selector
+	selectedAt clock.Millis
+	// cancels passes cancellations on to the entries that are not linked.
+	cancels *cancelRelay
+	// rosterChanged is set while the linked entries differ from those that the agents were
+	// told at rosterSentAt.
+	rosterChanged bool
+	rosterSentAt  clock.Millis
 	// storeCalls counts the calls to the store in progress.
 	storeCalls int
 	// The last read of the membership list began at membersReadAt; readingMembers is set
@@ -182,28 +196,29 @@
 // New returns an entry. Call Open before Run.
 func New(s Settings, c Clock, source TermsSource, m Members, log *slog.Logger) *Entry {
 	e := &Entry{
-		settings:        s,
-		clock:           c,
-		log:             log,
-		scheduler:       place.New(s.Self.Location.Zone),
-		termsSource:     source,
-		members:         m,
-		pause:           clock.NewPauseDetector(pauseLimitMS, clock.FromDuration(idleInterval)),
-		inbox:           make(chan message, inboxSize),
-		newTerms:        make(chan *contr.Terms, 1),
-		memberLists:     make(chan memberList, 1),
-		recordResults:   make(chan error, 1),
-		removals:        make(chan error, 1),
-		listing:         roster.NewListing(),
-		drainRequested:  make(chan struct{}, 1),
-		waiters:         map[jobs.ID][]*waiter{},
-		agents:          map[string]*link.Link{},
-		linkedEntries:   map[string]*linkedEntry{},
-		dialedAddresses: map[string]clock.Millis{},
-		storeReachable:  true,
-		metrics:         newMetrics(),
+		settings:       s,
+		clock:          c,
+		log:            log,
+		scheduler:      place.New(s.Self.Location.Zone),
+		termsSource:    source,
+		members:        m,
+		pause:          clock.NewPauseDetector(pauseLimitMS, clock.FromDuration(idleInterval)),
+		inbox:          make(chan message, inboxSize),
+		newTerms:       make(chan *contr.Terms, 1),
+		memberLists:    make(chan memberList, 1),
+		recordResults:  make(chan error, 1),
+		removals:       make(chan error, 1),
+		listing:        roster.NewListing(),
+		drainRequested: make(chan struct{}, 1),
+		waiters:        map[jobs.ID][]*waiter{},
+		agents:         map[string]*link.Link{},
+		linkedEntries:  map[string]*linkedEntry{},
+		selector:       roster.NewSelector(s.Self.Name, s.Seeds, entryLinks, maxMeshEntries, c.Now()),
+		cancels:        newCancelRelay(),
+		storeReachable: true,
+		metrics:        newMetrics(),
 	}
-	e.node = link.New(link.Settings{Self: s.Self, Listen: s.LinkAddress, TLS: s.TLS, IdleTimeout: runner.LinkTimeoutMS}, log)
+	e.node = link.New(link.Settings{Self: s.Self, Listen: s.LinkAddress, TLS: s.TLS, IdleTimeout: entryLinkTimeoutMS}, log)
 	return e
 }
 
@@ -235,9 +250,6 @@
 	done := make(chan error, entryGoroutines)
 	go e.node.Run(ctx, done)
 	go e.followTerms(ctx, done)
-	for _, s := range e.settings.Seeds {
-		e.dial(s)
-	}
 	err := e.loop(ctx)
 	cancel()
 	e.awaitGoroutines(done)
@@ -423,12 +435,11 @@
 	e.scheduler.Tick(now)
 	e.sendKeepalives()
 	e.refreshMembers(ctx, now)
-	for address, listedAt := range e.dialedAddresses {
-		if now-listedAt > unlistedGraceMS && !e.linkedTo(address) {
-			delete(e.dialedAddresses, address)
-			e.node.StopDialing(address)
-		}
+	if now-e.selectedAt >= selectIntervalMS {
+		e.updateDials(now)
 	}
+	e.sendRoster(now)
+	e.sendCancels(now)
 }
 
 // startDrain begins a graceful shutdown: the entry reports that it is not ready and
