runner, runs: Poll and tick only as often as needed

Cause: an agent polled its worker every 20 ms and ticked every 20 ms while a report was due, which under load it always is: some 100 wake-ups a second each, at 240 agents the largest number of system calls in the system.

Change: a poll waits 100 ms for an end (it returns at once when a run ends); 20 ms as before for 2 s after an unanswered call and while a run is to be stopped. Ticks come when the next report is due.

--- a/internal/runner/calls.go
+++ b/internal/runner/calls.go
@@ -54,12 +54,17 @@
 			l.link.Send(endsFrame(ends))
 		}
 	}
-	interval := capacityReportMS * clock.Millis(len(a.links)*len(a.links))
-	if a.supervisor.NotifyNow || a.supervisor.Changed && a.clock.Now()-a.capacityReportedAt >= interval {
+	if a.supervisor.NotifyNow || a.supervisor.Changed && a.clock.Now()-a.capacityReportedAt >= a.reportInterval() {
 		a.reportCapacity()
 	}
 }
 
+// reportInterval returns the interval of capacity reports to entries that had no part in the
+// change.
+func (a *Agent) reportInterval() clock.Millis {
+	return capacityReportMS * clock.Millis(len(a.links)*len(a.links))
+}
+
 func (a *Agent) startRun(ctx context.Context, r runs.Run) {
 	until := a.computeLeaseEnd(a.clock.Now(), runs.StartLeaseMS) + a.clockOffset
 	a.supervisor.SetLease(r.Ref, r.Entry, until)
@@ -147,8 +152,11 @@
 		return
 	}
 	wait, timeout := pollWaitMS, callTimeout(a.supervisor.FailedPolls())
-	if a.supervisor.RunsAtWorker() == 0 {
+	switch {
+	case a.supervisor.RunsAtWorker() == 0:
 		wait = idlePollWaitMS
+	case a.supervisor.Cautious(now):
+		wait = cautiousPollWaitMS
 	}
 	if !a.clockOffsetKnown {
 		wait = 0 // leases can be renewed only once the worker's clock is known
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -91,17 +91,21 @@
 	// selectIntervalMS is the interval at which the dialed entries are reviewed.
 	selectIntervalMS clock.Millis = 250
 
-	// busyInterval is the tick interval while work is due soon, idleInterval otherwise.
-	busyInterval = 20 * time.Millisecond
-	idleInterval = 100 * time.Millisecond
-	inboxSize    = 256
+	// busyInterval is the tick interval while work is due soon, idleInterval otherwise. Ticks
+	// for a report that is due are at least minTickMS apart.
+	busyInterval              = 20 * time.Millisecond
+	idleInterval              = 100 * time.Millisecond
+	minTickMS    clock.Millis = 1
+	inboxSize                 = 256
 	// pauseLimitMS is the longest pause of this process that its peers cannot have noticed.
 	pauseLimitMS clock.Millis = 300
 	// pollWaitMS and idlePollWaitMS are how long a poll waits for a run to end, with and
-	// without runs at the worker. Both are short: a worker may leave any call unanswered,
-	// and an ended run is not seen until the next poll.
-	pollWaitMS     clock.Millis = 20
-	idlePollWaitMS clock.Millis = 250
+	// without runs at the worker. A worker may leave any call unanswered, and an ended run
+	// is not seen until the next poll. While calls go unanswered or a run is to be
+	// stopped, polls wait for cautiousPollWaitMS only.
+	pollWaitMS         clock.Millis = 100
+	cautiousPollWaitMS clock.Millis = 20
+	idlePollWaitMS     clock.Millis = 250
 	// minCallTimeoutMS is the timeout of a call on the local host. It doubles with each
 	// consecutive unanswered call, up to maxCallTimeoutMS: a lost call is repeated soon,
 	// and a slow worker still gets enough time.
@@ -160,6 +164,8 @@
 	capacityReportedAt clock.Millis
 	entriesQueriedAt   clock.Millis
 	queryingEntries    bool
+	// tickAt is when the next tick is due.
+	tickAt clock.Millis
 	// drainDeadline is when a draining agent ends at the latest; zero while it does not drain.
 	drainDeadline clock.Millis
 	loggedState   workerState
@@ -254,7 +260,7 @@
 func (a *Agent) loop(ctx context.Context) error {
 	t := time.NewTimer(busyInterval)
 	defer t.Stop()
-	shortTick := true
+	a.tickAt = a.clock.Now() + clock.FromDuration(busyInterval)
 	for {
 		var source *link.Link
 		var handle func()
@@ -287,12 +293,10 @@
 		}
 		a.checkPause()
 		a.handleGuarded(ctx, source, handle)
-		if ticked {
-			shortTick = a.busy()
-			t.Reset(tickInterval(shortTick))
-		} else if !shortTick && a.busy() {
-			shortTick = true
-			t.Reset(busyInterval)
+		now := a.clock.Now()
+		if due := a.tickDue(now); ticked || due < a.tickAt {
+			a.tickAt = due
+			t.Reset((due - now).Duration())
 		}
 		if a.drainDeadline > 0 && (a.supervisor.Held() == 0 || a.clock.Now() >= a.drainDeadline) {
 			return a.closeLinks()
@@ -346,16 +350,16 @@
 	a.supervisor.StopAll(now)
 }
 
-// busy reports whether work is due so soon that ticks have to come at busyInterval.
-func (a *Agent) busy() bool {
-	return a.supervisor.NeedsFrequentTicks() || a.supervisor.Changed || a.drainDeadline > 0 || a.supervisor.Unreachable
-}
-
-func tickInterval(busy bool) time.Duration {
-	if busy {
-		return busyInterval
+// tickDue returns when the next tick is due at the latest.
+func (a *Agent) tickDue(now clock.Millis) clock.Millis {
+	due := now + clock.FromDuration(idleInterval)
+	if a.supervisor.NeedsFrequentTicks() || a.drainDeadline > 0 || a.supervisor.Unreachable {
+		due = now + clock.FromDuration(busyInterval)
+	}
+	if a.supervisor.Changed {
+		due = min(due, max(a.capacityReportedAt+a.reportInterval(), now+minTickMS))
 	}
-	return idleInterval
+	return due
 }
 
 func (a *Agent) startDrain() {
--- a/internal/runs/polls.go
+++ b/internal/runs/polls.go
@@ -35,6 +35,7 @@
 		run.Status = Running
 	case StartUnanswered:
 		run.UnansweredStarts++
+		s.unansweredAt = now
 		if run.UnansweredStarts < maxUnansweredStarts && !run.Stopping {
 			s.retryStart(run, now)
 			return
@@ -248,6 +249,7 @@
 		s.firstFailedPollAt = now
 	}
 	s.failedPolls++
+	s.unansweredAt = now
 	if !s.unresponsive(now) {
 		return
 	}
--- a/internal/runs/supervisor.go
+++ b/internal/runs/supervisor.go
@@ -66,6 +66,8 @@
 	renewedAt clock.Millis
 	// lastPollAt is when the last poll was answered.
 	lastPollAt clock.Millis
+	// unansweredAt is when a start or poll last went unanswered; zero if none did.
+	unansweredAt clock.Millis
 	// fastLogSpeed is the fast-moving average of the speed's logarithm.
 	fastLogSpeed float64
 	stalled      bool
@@ -95,6 +97,8 @@
 	// maxUnansweredStarts is the number of unanswered starts after which the agent stops
 	// retrying the run: a healthy worker answers at least one of them.
 	maxUnansweredStarts = 3
+	// cautiousMS is how long after an unanswered call further ones are expected.
+	cautiousMS clock.Millis = 2000
 	// stopRetryMS is the interval at which a stop is repeated until the run has ended.
 	stopRetryMS clock.Millis = 60
 	// lostAfterMS is how long a confirmed run may be missing from polls before it counts
@@ -373,6 +377,20 @@
 	return n
 }
 
+// Cautious reports whether calls to the worker may go unanswered, because some recently did,
+// or a run has to be resolved soon, because it is to be stopped.
+func (s *Supervisor) Cautious(now clock.Millis) bool {
+	if s.unansweredAt > 0 && now-s.unansweredAt < cautiousMS {
+		return true
+	}
+	for _, run := range s.runs {
+		if run.Stopping {
+			return true
+		}
+	}
+	return false
+}
+
 // EntriesWithRunsAtWorker returns the entries with runs that the worker may have, by
 // incarnation. Entries that have only queued runs are left out.
 func (s *Supervisor) EntriesWithRunsAtWorker() map[string]bool {
--- a/internal/runs/supervisor_test.go
+++ b/internal/runs/supervisor_test.go
@@ -400,3 +400,21 @@
 	s.HandlePoll(PollResult{ClockMS: 5, SentAt: 1, Running: []RunID{{ref("old", 0), 3}}}, 5)
 	require.Equal(t, []jobs.TaskRef{ref("old", 0)}, takeStops(s))
 }
+
+// While every call is answered, polls may wait for long. An unanswered call may be the first
+// of many, and the runs that end meanwhile are seen only by the next answered poll.
+func TestSupervisorIsCautiousAfterUnansweredCalls(t *testing.T) {
+	s := newSupervisor()
+	s.Launch([]Run{newRun(entryA, "a", 0, 0)}, 1)
+	takeStarts(s)
+	require.False(t, s.Cautious(1))
+	answerStart(s, ref("a", 0), entryA, StartUnanswered, 10)
+	require.True(t, s.Cautious(10))
+	answerStart(s, ref("a", 0), entryA, StartOK, 20)
+	require.False(t, s.Cautious(10+cautiousMS))
+	s.HandlePollFailure(lease, 3000)
+	require.True(t, s.Cautious(3001))
+	require.False(t, s.Cautious(3000+cautiousMS))
+	s.StopTasks(entryA, "a", nil, 6000)
+	require.True(t, s.Cautious(6000), "the run is to be stopped")
+}
