sched: Tell other entries the configuration's version, not the configuration

Cause: an entry sent each new configuration, and on each new link the one in force, to every linked entry with an older version. The state sent to other entries counted the jobs of every queue for each link.

Change: only the version is sent. An entry that hears of a newer one and does not get it from the store within 300 ms requests it from one linked entry. Unstarted jobs are counted in one pass over the jobs.

Measured: both rules by tests with virtual time.

--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -470,6 +470,22 @@
 	return n
 }
 
+// UnstartedByQueue returns the numbers of jobs that have not started, by queue. It omits
+// queues without such jobs, and is nil if there are none.
+func (s *Scheduler) UnstartedByQueue() map[string]int32 {
+	var counts map[string]int32
+	for _, j := range s.jobsToPlace {
+		if j.Started {
+			continue
+		}
+		if counts == nil {
+			counts = map[string]int32{}
+		}
+		counts[j.Spec.Queue]++
+	}
+	return counts
+}
+
 // Counts returns how many jobs have tasks to be placed, and how many workers of all
 // fleets accept tasks and have any processor time free.
 func (s *Scheduler) Counts() (jobsToPlace, workersWithFreeCPU int) {
--- a/internal/sched/links.go
+++ b/internal/sched/links.go
@@ -59,9 +59,6 @@
 	e.rosterChanged = true
 	e.log.Info("link up", "peer", l.Peer.Name, "role", string(l.Peer.Role))
 	l.Send(e.entryStateFrame())
-	if e.terms != nil {
-		l.Send(termsFrame(e.terms))
-	}
 }
 
 // sendRoster tells the agents of changes among the linked entries. Changes that follow each
@@ -205,11 +202,7 @@
 	}
 	switch b := f.Body.(type) {
 	case *wire.Frame_Pulse:
-		other.termsVersion = b.Pulse.GetTermsVersion()
-		other.unstartedJobs = b.Pulse.GetWaiting()
-		if e.terms != nil && other.termsVersion < e.terms.Version {
-			l.Send(termsFrame(e.terms))
-		}
+		e.onEntryState(other, b.Pulse)
 	case *wire.Frame_Terms:
 		terms := decodeTerms(b.Terms)
 		if err := terms.Check(); err != nil {
@@ -227,15 +220,10 @@
 // since they renew the leases of this entry's runs only while they receive frames from it.
 func (e *Entry) sendKeepalives() {
 	now := time.Now()
-	var state *wire.Frame
 	for _, other := range e.linkedEntries {
-		if now.Sub(other.link.LastSentAt) < entryStateIntervalMS.Duration() {
-			continue
-		}
-		if state == nil {
-			state = e.entryStateFrame()
+		if now.Sub(other.link.LastSentAt) >= entryStateIntervalMS.Duration() {
+			e.sendState(other)
 		}
-		other.link.Send(state)
 	}
 	for incarnation := range e.scheduler.AgentsWithRuns() {
 		if l := e.agents[incarnation]; l != nil && now.Sub(l.LastSentAt) >= agentKeepaliveMS.Duration() {
@@ -244,20 +232,17 @@
 	}
 }
 
+// sendState sends this entry's state to another entry.
+func (e *Entry) sendState(other *linkedEntry) {
+	other.link.Send(e.entryStateFrame())
+}
+
 // entryStateFrame returns the state that this entry sends to other entries: its number of
 // unstarted jobs by queue and its configuration version.
 func (e *Entry) entryStateFrame() *wire.Frame {
-	m := &wire.Pulse{}
+	m := &wire.Pulse{Waiting: e.scheduler.UnstartedByQueue()}
 	if e.terms != nil {
 		m.TermsVersion = e.terms.Version
-		for _, q := range e.terms.Queues {
-			if n := e.scheduler.UnstartedJobs(q.Name); n > 0 {
-				if m.Waiting == nil {
-					m.Waiting = map[string]int32{}
-				}
-				m.Waiting[q.Name] = int32(n)
-			}
-		}
 	}
 	return &wire.Frame{Body: &wire.Frame_Pulse{Pulse: m}}
 }
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -96,6 +96,16 @@
 	// agentKeepaliveMS is how long the entry may send nothing to an agent that holds runs
 	// of this entry.
 	agentKeepaliveMS clock.Millis = 200
+	// termsRequestMS is how long an entry that learns of a newer configuration waits for it
+	// from the store before it requests it from a linked entry, and the interval at which it
+	// repeats the request.
+	termsRequestMS clock.Millis = 300
+	// termsAnswerMS is how long a configuration has to be in force before it is sent to
+	// linked entries, which need that time to read it from the store. It is shorter than
+	// termsRequestMS, so that every request is answered.
+	termsAnswerMS clock.Millis = 250
+	// termsRepeatMS is the shortest interval at which one version is sent to one entry.
+	termsRepeatMS clock.Millis = 1000
 	// termsRetryMS is the delay before a failed read of the configuration is repeated.
 	termsRetryMS clock.Millis = 250
 )
@@ -127,11 +137,15 @@
 	log       *slog.Logger
 	scheduler *place.Scheduler
 	// terms are the terms in force, or nil before the first were received.
-	terms       *contr.Terms
-	termsSource TermsSource
-	members     Members
-	node        *link.Node
-	pause       *clock.PauseDetector
+	terms *contr.Terms
+	// termsSince is when terms came into force.
+	termsSince clock.Millis
+	// termsRequestedAt is when terms were last requested from a linked entry.
+	termsRequestedAt clock.Millis
+	termsSource      TermsSource
+	members          Members
+	node             *link.Node
+	pause            *clock.PauseDetector
 
 	inbox       chan message
 	newTerms    chan *contr.Terms
@@ -188,9 +202,15 @@
 
 // linkedEntry is a linked entry and the state that it last sent.
 type linkedEntry struct {
-	link          *link.Link
-	termsVersion  int64
-	unstartedJobs map[string]int32
+	link *link.Link
+	// termsVersion is the configuration version in force at the entry, and behindSince when
+	// this entry learned that the version is newer than its own; zero while it is not.
+	termsVersion int64
+	behindSince  clock.Millis
+	// termsSentVersion is the last version that was sent to the entry, and termsSentAt when.
+	termsSentVersion int64
+	termsSentAt      clock.Millis
+	unstartedJobs    map[string]int32
 }
 
 // New returns an entry. Call Open before Run.
@@ -391,22 +411,6 @@
 	done <- errors.Annotate(ctx.Err(), "follow configuration")
 }
 
-// onTerms puts terms in force if they are newer than the current ones, and forwards
-// them to linked entries with an older version.
-func (e *Entry) onTerms(t *contr.Terms, from string) {
-	if !t.NewerThan(e.terms) {
-		return
-	}
-	e.terms = t
-	e.log.Info("configuration in force", "version", t.Version, "from", from, "queues", len(t.Queues))
-	f := termsFrame(t)
-	for _, other := range e.linkedEntries {
-		if other.termsVersion < t.Version {
-			other.link.Send(f)
-		}
-	}
-}
-
 // checkPause abandons all jobs if this process was paused for so long that the agents
 // may have stopped its runs and callers may have submitted their jobs elsewhere.
 func (e *Entry) checkPause() {
@@ -440,6 +444,7 @@
 	}
 	e.sendRoster(now)
 	e.sendCancels(now)
+	e.requestTerms(now)
 }
 
 // startDrain begins a graceful shutdown: the entry reports that it is not ready and
--- a/internal/sched/sched_test.go
+++ b/internal/sched/sched_test.go
@@ -159,9 +159,10 @@
 // No frame from an agent or another entry, whatever it holds, may end the process.
 func TestFramesWithAnyValuesAreHandled(t *testing.T) {
 	e := newTestEntry(t)
-	agent := &link.Link{Peer: host.Host{Name: "a", Incarnation: "a", Role: host.RoleAgent}}
-	other := &link.Link{Peer: host.Host{Name: "o", Incarnation: "o", Role: host.RoleEntry}}
-	e.agents["a"], e.linkedEntries["o"] = agent, &linkedEntry{link: other}
+	agent, _ := link.NewUnconnected(host.Host{Name: "a", Incarnation: "a", Role: host.RoleAgent})
+	e.agents["a"] = agent
+	linked, sent := linkFakeEntry(e, "o")
+	other := linked.link
 	rapid.Check(t, func(rt *rapid.T) {
 		content := rapid.SliceOfN(rapid.Byte(), 0, 200).Draw(rt, "content")
 		f := &wire.Frame{}
@@ -171,6 +172,7 @@
 		e.onFrame(agent, f)
 		e.onFrame(other, f)
 		e.scheduler.Tick(e.clock.Now())
+		sent()
 	})
 	for _, f := range oddFrames() {
 		e.onFrame(agent, f)
@@ -199,3 +201,56 @@
 		{Body: &wire.Frame_Hello{}},
 	}
 }
+
+// linkFakeEntry returns a linked entry whose link has no connection; sent returns the frames that
+// were sent on it.
+func linkFakeEntry(e *Entry, name string) (other *linkedEntry, sent func() []*wire.Frame) {
+	l, frames := link.NewUnconnected(host.Host{Name: name, Incarnation: name, Role: host.RoleEntry})
+	other = &linkedEntry{link: l}
+	e.linkedEntries[name] = other
+	return other, frames
+}
+
+func stateWithVersion(version int64) *wire.Frame {
+	return &wire.Frame{Body: &wire.Frame_Pulse{Pulse: &wire.Pulse{TermsVersion: version}}}
+}
+
+// A configuration of thousands of queues, changed several times a second, must not be sent by
+// each entry to all others. An entry that the store refuses still gets it.
+func TestConfigurationIsSentOnlyToEntriesThatLackIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := newTestEntry(t)
+		other, sent := linkFakeEntry(e, "o")
+		terms := &contr.Terms{Version: 7, Queues: []contr.Queue{{Name: "q", MaxAttempts: 1}}}
+		e.onTerms(terms, "store")
+		frames := sent()
+		require.Len(t, frames, 1)
+		require.Equal(t, int64(7), frames[0].GetPulse().GetTermsVersion(), "only the version")
+		e.onFrame(other.link, stateWithVersion(6))
+		require.Empty(t, sent(), "the other entry may be reading it from the store")
+		time.Sleep(termsRequestMS.Duration())
+		e.onFrame(other.link, stateWithVersion(6))
+		e.onFrame(other.link, stateWithVersion(6))
+		frames = sent()
+		require.Len(t, frames, 1, "sent once")
+		require.Equal(t, int64(7), frames[0].GetTerms().GetVersion())
+	})
+}
+
+func TestNewerConfigurationIsRequestedIfTheStoreDoesNotProvideIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := newTestEntry(t)
+		other, sent := linkFakeEntry(e, "o")
+		e.onFrame(other.link, stateWithVersion(7))
+		e.requestTerms(e.clock.Now())
+		require.Empty(t, sent())
+		time.Sleep(termsRequestMS.Duration())
+		e.requestTerms(e.clock.Now())
+		e.requestTerms(e.clock.Now())
+		require.Len(t, sent(), 1, "this entry's state with the older version is the request")
+		e.onTerms(&contr.Terms{Version: 7}, "o")
+		time.Sleep(2 * termsRequestMS.Duration())
+		e.requestTerms(e.clock.Now())
+		require.Empty(t, sent(), "the newest version is in force")
+	})
+}
