runner: Acknowledge draining once recorded; order runs by the agent's clock

Cause: (1) An agent acknowledged that its worker drains before that was in the worker's record: killed in between, the next process would have used the worker until its next heartbeat.

Change: the acknowledgement waits for the write, at most 400 ms. A launch carries the time left until its latest start.

Measured: tests of both in virtual time.

--- a/internal/runner/calls.go
+++ b/internal/runner/calls.go
@@ -250,7 +250,12 @@
 	return &wire.Frame{Body: &wire.Frame_Room{Room: m}}
 }
 
-func decodeLaunch(entry string, m *wire.Launch) []runs.Run {
+// decodeLaunch returns the runs of a launch that arrived at now.
+func decodeLaunch(entry string, m *wire.Launch, now clock.Millis) []runs.Run {
+	latestStart := m.GetRank()
+	if m.SlackMs != nil {
+		latestStart = int64(now) + m.GetSlackMs()
+	}
 	out := make([]runs.Run, 0, len(m.GetTasks()))
 	for _, t := range m.GetTasks() {
 		out = append(out, runs.Run{
@@ -261,7 +266,7 @@
 			Payload:     m.GetPayload(),
 			Size:        link.DecodeSize(m.GetSize()),
 			ExpectedMS:  clock.Millis(m.GetExpectedMs()),
-			LatestStart: m.GetRank(),
+			LatestStart: latestStart,
 		})
 	}
 	return out
--- a/internal/runner/lease_test.go
+++ b/internal/runner/lease_test.go
@@ -5,14 +5,18 @@
 	"io"
 	"log/slog"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/turmericbarrow/turmericbarrow/internal/clock"
 	"github.com/turmericbarrow/turmericbarrow/internal/host"
 	"github.com/turmericbarrow/turmericbarrow/internal/jobs"
 	"github.com/turmericbarrow/turmericbarrow/internal/roster"
 	"github.com/turmericbarrow/turmericbarrow/internal/runs"
+	"github.com/turmericbarrow/turmericbarrow/internal/wire"
 )
 
 type fakeStore struct{}
@@ -37,3 +41,70 @@
 	a.lastReceived["gone"] = 1850
 	require.Equal(t, clock.Millis(2900), a.computeLeaseEnd(1900, 1000))
 }
+
+// slowStore takes saveTime for each write.
+type slowStore struct {
+	fakeStore
+	saveTime time.Duration
+}
+
+func (s slowStore) SaveWorker(context.Context, string, *runs.Worker) error {
+	time.Sleep(s.saveTime)
+	return nil
+}
+
+// answeringWorker answers every poll at once.
+type answeringWorker struct{}
+
+func (answeringWorker) Start(context.Context, runs.Worker, runs.Run, clock.Millis) (runs.StartOutcome, clock.Millis) {
+	return runs.StartOK, 1
+}
+
+func (answeringWorker) Stop(context.Context, runs.Worker, jobs.TaskRef, int64) error { return nil }
+
+func (answeringWorker) Poll(_ context.Context, w runs.Worker, _, wait clock.Millis) (runs.PollResult, error) {
+	time.Sleep(wait.Duration())
+	return runs.PollResult{ClockMS: 1, Epoch: w.Epoch}, nil
+}
+
+// If an agent acknowledged that its worker drains and was killed before that was recorded, the
+// next process would use the worker again. A store that is away must not delay the
+// acknowledgement for longer than the worker waits.
+func TestDrainingIsAcknowledgedOnceRecorded(t *testing.T) {
+	for saveTime, wanted := range map[time.Duration]time.Duration{
+		100 * time.Millisecond: 100 * time.Millisecond,
+		3 * time.Second:        maxSaveWaitMS.Duration(),
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			a := New(Settings{Self: host.Host{Name: "a"}, LeaseMS: 1000, ResendMS: 1300}, clock.New(), answeringWorker{},
+				fakeStore{}, slowStore{saveTime: saveTime}, slog.New(slog.NewTextHandler(io.Discard, nil)))
+			ctx, cancel := context.WithCancel(t.Context())
+			done := make(chan error, 1)
+			go func() { done <- a.Run(ctx) }()
+			announce := func(draining bool, sequence int64) time.Duration {
+				start, handled := time.Now(), make(chan struct{})
+				a.Announce(ctx, Announcement{Worker: runs.Worker{ID: "w", Epoch: 1, Fleet: "f", Draining: draining,
+					Capacity: jobs.Size{MilliCPU: 1}}, Sequence: sequence, ClockMS: 1, Handled: handled})
+				<-handled
+				return time.Since(start)
+			}
+			require.Less(t, announce(false, 1), 50*time.Millisecond)
+			time.Sleep(10 * time.Second)
+			waited := announce(true, 2)
+			require.GreaterOrEqual(t, waited, wanted)
+			require.Less(t, waited, wanted+2*idleInterval)
+			cancel()
+			<-done
+		})
+	}
+}
+
+// The clocks of two entries differ by seconds. The runs of the one that is behind must not go
+// first for that.
+func TestOrderOfRunsDoesNotDependOnClocksOfEntries(t *testing.T) {
+	ahead := &wire.Launch{Rank: 9_000_050, SlackMs: proto.Int64(50), Tasks: []*wire.RunTask{{}}}
+	behind := &wire.Launch{Rank: 100, SlackMs: proto.Int64(100), Tasks: []*wire.RunTask{{}}}
+	require.Less(t, decodeLaunch("a", ahead, 1000)[0].LatestStart, decodeLaunch("b", behind, 1000)[0].LatestStart)
+	require.Equal(t, int64(7), decodeLaunch("c", &wire.Launch{Rank: 7, Tasks: []*wire.RunTask{{}}}, 1000)[0].LatestStart,
+		"an entry of an earlier version")
+}
--- a/internal/runner/links.go
+++ b/internal/runner/links.go
@@ -145,7 +145,7 @@
 	switch b := f.Body.(type) {
 	case *wire.Frame_Launch:
 		l.lastLaunch = b.Launch.GetNumber()
-		a.supervisor.Launch(decodeLaunch(entry, b.Launch), now)
+		a.supervisor.Launch(decodeLaunch(entry, b.Launch, now), now)
 	case *wire.Frame_Halt:
 		job, tasks := decodeHalt(b.Halt)
 		a.supervisor.StopTasks(entry, job, tasks, now)
--- a/internal/runner/record.go
+++ b/internal/runner/record.go
@@ -20,6 +20,10 @@
 // saveRetryMS is the delay before a failed write of the record is retried.
 const saveRetryMS clock.Millis = 1000
 
+// maxSaveWaitMS is how long the acknowledgement of an announcement waits for the write of the
+// record. Workers take no acknowledgement after a second.
+const maxSaveWaitMS clock.Millis = 400
+
 // recordWriter reads the worker's record at the start and writes it when the worker has
 // changed, one write at a time.
 type recordWriter struct {
@@ -36,6 +40,40 @@
 	// saveDone receives the result of a write, loaded that of the read at the start.
 	saveDone chan error
 	loaded   chan *runs.Worker
+	// awaiting holds the announcements to be acknowledged after the next write.
+	awaiting []awaitedSave
+}
+
+// awaitedSave is an announcement that is acknowledged once the record is written.
+type awaitedSave struct {
+	handled chan<- struct{}
+	since   clock.Millis
+}
+
+// unsaved reports whether w differs from the record.
+func (r *recordWriter) unsaved(w *runs.Worker) bool {
+	return !(r.savedKnown && sameRecord(r.saved, w)) && (r.savedKnown || w != nil)
+}
+
+// awaitSave acknowledges an announcement after the next write, or after maxSaveWaitMS.
+func (r *recordWriter) awaitSave(handled chan<- struct{}, now clock.Millis) {
+	r.awaiting = append(r.awaiting, awaitedSave{handled: handled, since: now})
+}
+
+// release acknowledges all announcements that wait for a write.
+func (r *recordWriter) release() {
+	for _, w := range r.awaiting {
+		close(w.handled)
+	}
+	r.awaiting = nil
+}
+
+// releaseOverdue acknowledges the announcements that have waited for maxSaveWaitMS. The store
+// may be away for longer than a worker waits.
+func (r *recordWriter) releaseOverdue(now clock.Millis) {
+	if len(r.awaiting) > 0 && now-r.awaiting[0].since >= maxSaveWaitMS {
+		r.release()
+	}
 }
 
 func newRecordWriter(store WorkerStore) *recordWriter {
@@ -73,7 +111,7 @@
 func (a *Agent) saveWorkerRecord(ctx context.Context) {
 	writer := a.recordWriter
 	w := a.workerToRecord()
-	if writer.saving || a.clock.Now() < writer.nextSaveAt || (writer.savedKnown && sameRecord(writer.saved, w)) || (!writer.savedKnown && w == nil) {
+	if writer.saving || a.clock.Now() < writer.nextSaveAt || !writer.unsaved(w) {
 		return
 	}
 	writer.saving, writer.savingWorker = true, w
@@ -112,4 +150,7 @@
 		return
 	}
 	writer.saved, writer.savedKnown = writer.savingWorker, true
+	if !writer.unsaved(a.workerToRecord()) {
+		writer.release()
+	}
 }
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -269,7 +269,7 @@
 		case e := <-a.node.Events():
 			source, handle = e.Link, func() { a.onLinkEvent(e) }
 		case m := <-a.announcements:
-			handle = func() { a.onAnnouncement(m) }
+			handle = func() { a.onAnnouncement(ctx, m) }
 		case r := <-a.startResults:
 			handle = func() { a.onStartResult(r) }
 		case r := <-a.pollResults:
@@ -401,6 +401,7 @@
 	a.sendKeepalives()
 	a.queryEntries(ctx, now)
 	a.saveWorkerRecord(ctx)
+	a.recordWriter.releaseOverdue(now)
 	if now-a.selectedAt >= selectIntervalMS {
 		a.updateDials(now)
 	}
@@ -426,9 +427,16 @@
 	stalled     bool
 }
 
-func (a *Agent) onAnnouncement(m Announcement) {
-	defer close(m.Handled)
+// onAnnouncement applies a worker's announcement. That a worker drains is acknowledged once it
+// is recorded, so that the next process of this agent does not use the worker again.
+func (a *Agent) onAnnouncement(ctx context.Context, m Announcement) {
 	now := a.clock.Now()
+	handled := true
+	defer func() {
+		if handled {
+			close(m.Handled)
+		}
+	}()
 	switch known := a.supervisor.Worker; {
 	case m.Gone && known != nil && known.ID != m.Worker.ID:
 		return // the deregistration of an earlier worker arrived late
@@ -442,6 +450,11 @@
 		return
 	}
 	a.reportCapacity()
+	if m.Worker.Draining && a.recordWriter.unsaved(a.workerToRecord()) {
+		a.recordWriter.awaitSave(m.Handled, now)
+		a.saveWorkerRecord(ctx)
+		handled = false
+	}
 }
 
 func (a *Agent) updateWorker(m Announcement, now clock.Millis) {
--- a/internal/runs/run.go
+++ b/internal/runs/run.go
@@ -53,8 +53,8 @@
 	// ExpectedMS is the expected run time on a worker of speed 1.
 	ExpectedMS clock.Millis
 	// LatestStart is the latest time at which the run's job can start and still meet its
-	// objective, in milliseconds of Unix time by the entry's clock. Queued runs start in
-	// this order, lowest first.
+	// objective, in milliseconds of Unix time by the agent's clock. Queued runs start in this
+	// order, lowest first.
 	LatestStart int64
 	Status      Status
 	// Stopping is set once the run is to be stopped, and stays set until it has ended. A
--- a/internal/sched/links.go
+++ b/internal/sched/links.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/juju/errors"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/turmericbarrow/turmericbarrow/internal/clock"
 	"github.com/turmericbarrow/turmericbarrow/internal/contr"
@@ -296,7 +297,7 @@
 	return min(max(v, minSpeed), maxSpeed)
 }
 
-func launchFrame(a place.Launch) *wire.Frame {
+func launchFrame(a place.Launch, now clock.Millis) *wire.Frame {
 	m := &wire.Launch{
 		Number:     a.Number,
 		Job:        string(a.Job),
@@ -304,6 +305,7 @@
 		Size:       link.EncodeSize(a.Size),
 		ExpectedMs: int64(a.ExpectedMS),
 		Rank:       a.LatestStart,
+		SlackMs:    proto.Int64(a.LatestStart - int64(now)),
 		Queue:      a.Queue,
 	}
 	for _, t := range a.Tasks {
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -532,7 +532,7 @@
 			"run", a.Tasks[0].Run, "worker", w.ID, "speed", w.Speed, "free_milli_cpu", w.Free().MilliCPU,
 			"report_age_ms", int64(e.clock.Now()-w.ReportedAt), "expected_ms", int64(a.ExpectedMS))
 	}
-	e.sendToAgent(a.Agent, launchFrame(a))
+	e.sendToAgent(a.Agent, launchFrame(a, e.clock.Now()))
 }
 
 func (e *Entry) deliverAnswer(a place.Answer) {
