runner: Space reports by the cube of the number of links

Cause: an agent with six links reported its capacity seven times a second on each, 10,000 frames a second at 240 agents, most to entries that had no part in the change.

--- a/internal/runner/calls.go
+++ b/internal/runner/calls.go
@@ -62,7 +62,8 @@
 // reportInterval returns the interval of capacity reports to entries that had no part in the
 // change.
 func (a *Agent) reportInterval() clock.Millis {
-	return capacityReportMS * clock.Millis(len(a.links)*len(a.links))
+	links := len(a.links)
+	return clock.Millis(capacityReportUS * links * links * links / 1000)
 }
 
 func (a *Agent) startRun(ctx context.Context, r runs.Run) {
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -115,10 +115,10 @@
 	// is no link, linkedQueryMS the interval otherwise.
 	unlinkedQueryMS clock.Millis = 1000
 	linkedQueryMS   clock.Millis = 20_000
-	// capacityReportMS times the square of the number of links is the interval of capacity
-	// reports to entries that had no part in the change. With more links an agent thus
-	// sends fewer frames in all.
-	capacityReportMS clock.Millis = 4
+	// capacityReportUS times the cube of the number of links, in microseconds, is the interval
+	// of capacity reports to entries that had no part in the change. With more links, each
+	// entry sees more workers and needs less of each, and an agent sends fewer frames in all.
+	capacityReportUS = 1333
 )
 
 // Agent is the agent of one worker.
