place, runs: Return tasks that do not fit at once, spread over equal workers

Entries see 26 of 240 workers by reports up to 250 ms old and all choose the fastest that seems free; what did not fit waited at the agent for 60 ms and was then returned.

Change: agents return such a run after 5 ms, with their free capacity; entries draw among workers with about equal predicted ends and take the emptiest of four. A returned run no longer doubles the run number (only one that the worker refused does, a new outcome), since there may be many under overload.

--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -103,10 +103,13 @@
 	OutcomeLost
 	// OutcomeNotRun means that the run was never started and never will be.
 	OutcomeNotRun
+	// OutcomeRefused means the same as OutcomeNotRun, because the worker refused the start.
+	OutcomeRefused
 )
 
 var outcomeNames = map[Outcome]string{
 	OutcomeDone: "done", OutcomeFailed: "failed", OutcomeStopped: "stopped", OutcomeLost: "lost", OutcomeNotRun: "not_run",
+	OutcomeRefused: "refused",
 }
 
 // String returns the name used in logs and metrics.
--- a/internal/place/events.go
+++ b/internal/place/events.go
@@ -220,10 +220,12 @@
 	case jobs.OutcomeStopped, jobs.OutcomeLost:
 		t.AvoidAgent = agent
 		j.HadUnsuccessfulRun = true
-	case jobs.OutcomeNotRun:
+	case jobs.OutcomeNotRun, jobs.OutcomeRefused:
 		// If no run of the job may have executed and no other task is with an agent or
 		// done, the job waits like a new one.
 		j.Started = j.HadUnsuccessfulRun || j.hasStartedTask()
+	}
+	if outcome == jobs.OutcomeRefused {
 		// The worker may know a higher run number from an earlier submission of this
 		// job, in which case it refuses all lower ones.
 		t.Run *= 2
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -11,6 +11,7 @@
 
 import (
 	"math"
+	"math/rand/v2"
 
 	"github.com/turmericbarrow/turmericbarrow/internal/clock"
 	"github.com/turmericbarrow/turmericbarrow/internal/contr"
@@ -315,6 +316,11 @@
 	overheadMS clock.Millis = 4
 	// crossZoneMS is the additional message time for a worker in another zone.
 	crossZoneMS clock.Millis = 3
+	// endTolerance is the fraction of a job's objective by which predicted ends may differ
+	// and still count as equal, and drawnCandidates the number of workers with about equal
+	// ends that are compared.
+	endTolerance    = 0.1
+	drawnCandidates = 4
 	// staleReportMS is the age above which a report is stale. It is longer than the
 	// interval at which a live agent reports.
 	staleReportMS clock.Millis = 400
@@ -330,7 +336,7 @@
 	// estimateWeight is the weight of the caller's estimate in a prediction.
 	estimateWeight = 0.5
 	// A job is abandoned once the run number of one of its tasks reaches two to the
-	// power of maxRunDoublings. The number doubles after each run that never started,
+	// power of maxRunDoublings. The number doubles after each run that the worker refused,
 	// which bounds these runs: they are not the fault of the task, and MaxAttempts does
 	// not count them.
 	maxRunDoublings = 40
@@ -377,8 +383,11 @@
 	// withFreeCPU holds the workers that had free processor time when the current call
 	// of schedule began.
 	withFreeCPU []*Worker
+	// candidates is used by findCandidates only.
+	candidates []candidate
 	// stats is keyed by the name of the queue.
 	stats   map[string]*queueStats
+	random  *rand.Rand
 	actions []Action
 }
 
@@ -390,9 +399,16 @@
 		Workers: map[string]*Worker{},
 		Jobs:    map[jobs.ID]*Job{},
 		stats:   map[string]*queueStats{},
+		random:  rand.New(rand.NewPCG(0, 0)),
 	}
 }
 
+// Seed sets the seed of the random choices between workers that are about equal. Entries with
+// different seeds choose differently.
+func (s *Scheduler) Seed(seed uint64) {
+	s.random = rand.New(rand.NewPCG(seed, 0))
+}
+
 // TakeActions returns the pending actions and clears them.
 func (s *Scheduler) TakeActions() []Action {
 	a := s.actions
--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -408,3 +408,46 @@
 	endRun(s, l, 0, jobs.OutcomeDone, 50)
 	require.Empty(t, s.AgentsWithRuns())
 }
+
+// Entries with the same reports must not all choose the same worker.
+func TestEntriesSpreadTasksOverAboutEqualWorkers(t *testing.T) {
+	chosen := map[string]bool{}
+	for seed := range uint64(8) {
+		s := newScheduler(newWorker("a", 16, 1.2), newWorker("b", 16, 1.22), newWorker("c", 16, 1.21), newWorker("slow", 16, 0.5))
+		s.Seed(seed)
+		s.Submit(newSubmission("job", 1, 60), 0)
+		chosen[takeLaunches(s)[0].Agent] = true
+	}
+	require.Greater(t, len(chosen), 1)
+	require.NotContains(t, chosen, "slow", "the task would end late there")
+}
+
+// Among about equal workers there may be some on which the task would end late.
+func TestTaskGoesToWorkerOnWhichItEndsInTime(t *testing.T) {
+	for seed := range uint64(20) {
+		s := newScheduler(newWorker("in-time", 16, 0.48), newWorker("late", 16, 0.45))
+		s.Seed(seed)
+		s.Submit(newSubmission("job", 1, 100), 0)
+		launches := takeLaunches(s)
+		require.Len(t, launches, 1, "seed %d", seed)
+		require.Equal(t, "in-time", launches[0].Agent, "seed %d", seed)
+	}
+}
+
+// A run that an agent returns without sending it to the worker says nothing about the run
+// numbers that the worker knows, and may be returned many times under overload.
+func TestReturnedRunsDoNotUseUpRunNumbers(t *testing.T) {
+	s := newScheduler(newWorker("a", 16, 1))
+	s.Submit(newSubmission("job", 1, 60), 0)
+	for i := range 50 {
+		l := takeLaunches(s)
+		require.Len(t, l, 1)
+		require.Equal(t, int64(i+1), l[0].Tasks[0].Run)
+		endRun(s, l[0], 0, jobs.OutcomeNotRun, 1)
+		s.UpdateWorker(Report{Worker: newWorker("a", 16, 1), AckedLaunch: l[0].Number}, 1)
+	}
+	refused := takeLaunches(s)[0]
+	endRun(s, refused, 0, jobs.OutcomeRefused, 1)
+	s.UpdateWorker(Report{Worker: newWorker("a", 16, 1), AckedLaunch: refused.Number}, 1)
+	require.Greater(t, takeLaunches(s)[0].Tasks[0].Run, 2*refused.Tasks[0].Run, "the worker may know a higher number")
+}
--- a/internal/place/schedule.go
+++ b/internal/place/schedule.go
@@ -1,6 +1,8 @@
 package place
 
 import (
+	"math"
+	"slices"
 	"sort"
 
 	"github.com/turmericbarrow/turmericbarrow/internal/clock"
@@ -159,40 +161,70 @@
 	return false
 }
 
-// chooseWorker returns the worker on which a task is predicted to end first, or nil if no
-// worker accepts it or it should wait. Between workers whose predicted ends are within a
-// millisecond of each other, tieBreak decides. Until its QueueDeadline, a job doesn't use a
-// worker on which the task would end late, since a faster one may become free in time. A
-// job that has not started never uses a worker on which its answer would come too late to
-// be of use. The worker of t.AvoidAgent is considered only if the scheduler knows no other
-// worker, of any fleet and in any state.
+// chooseWorker returns the worker for a task, or nil if no worker accepts it or it should wait.
+// Until its QueueDeadline, a job doesn't use a worker on which the task would end late, since
+// a faster one may become free in time. A job that has not started never uses a worker on
+// which its answer would come too late to be of use.
 func (s *Scheduler) chooseWorker(j *Job, t *Task, now clock.Millis) *Worker {
-	size := j.Spec.Steps[t.ID.Step].Size
-	label := j.Spec.Steps[t.ID.Step].Label
 	deadline := j.ArrivedAt + j.Objective
-	var best *Worker
-	var bestEnd, bestTie float64
+	best := s.pickCandidate(s.findCandidates(j, t, now), j.Spec.Steps[t.ID.Step].Size)
+	if best.worker == nil {
+		return nil
+	}
+	if best.end > float64(deadline) && !j.pastQueueDeadline(now) {
+		return nil
+	}
+	if best.end > float64(j.ArrivedAt+LateFactor*j.Objective) && !j.Started {
+		return nil
+	}
+	return best.worker
+}
+
+// candidate is a worker that accepts a task, and the predicted end of the task on it.
+type candidate struct {
+	worker *Worker
+	end    float64
+}
+
+// findCandidates returns the workers that accept a task and on which it is predicted to end
+// at most endTolerance of its job's objective later than on the best one, and not late if it
+// ends in time on that one. The worker of
+// t.AvoidAgent is considered only if the scheduler knows no other worker, of any fleet and
+// in any state. The result is valid until the next call.
+func (s *Scheduler) findCandidates(j *Job, t *Task, now clock.Millis) []candidate {
+	step := j.Spec.Steps[t.ID.Step]
+	s.candidates = s.candidates[:0]
+	earliest := math.Inf(1)
 	for _, w := range s.withFreeCPU {
-		if w.Agent == t.AvoidAgent && len(s.Workers) > 1 {
-			continue
-		}
-		if !w.accepts(j.Queue.Fleet, label, size) {
+		if w.Agent == t.AvoidAgent && len(s.Workers) > 1 || !w.accepts(j.Queue.Fleet, step.Label, step.Size) {
 			continue
 		}
 		end := s.predictedEnd(j, w, now)
-		tie := s.tieBreak(w, size)
-		if best == nil || end < bestEnd-1 || (end < bestEnd+1 && tie < bestTie) {
-			best, bestEnd, bestTie = w, end, tie
-		}
+		earliest = min(earliest, end)
+		s.candidates = append(s.candidates, candidate{worker: w, end: end})
 	}
-	if best == nil {
-		return nil
+	latest := earliest + endTolerance*float64(j.Objective)
+	for _, bound := range []clock.Millis{j.ArrivedAt + j.Objective, j.ArrivedAt + LateFactor*j.Objective} {
+		if earliest <= float64(bound) {
+			latest = min(latest, float64(bound))
+		}
 	}
-	if bestEnd > float64(deadline) && !j.pastQueueDeadline(now) {
-		return nil
+	return slices.DeleteFunc(s.candidates, func(c candidate) bool { return c.end > latest })
+}
+
+// pickCandidate returns the emptiest of a few candidates that it draws at random, or none if
+// there are none. Entries decide at the same time from reports that are out of date: if all
+// chose the worker that was best in these, it would get the tasks of all of them.
+func (s *Scheduler) pickCandidate(candidates []candidate, size jobs.Size) candidate {
+	if len(candidates) == 0 {
+		return candidate{}
 	}
-	if bestEnd > float64(j.ArrivedAt+LateFactor*j.Objective) && !j.Started {
-		return nil
+	best := candidates[s.random.IntN(len(candidates))]
+	for range drawnCandidates - 1 {
+		other := candidates[s.random.IntN(len(candidates))]
+		if s.tieBreak(other.worker, size) < s.tieBreak(best.worker, size) {
+			best = other
+		}
 	}
 	return best
 }
@@ -211,8 +243,8 @@
 }
 
 // tieBreak returns the fraction of w's processor capacity in use with the task added;
-// the lower one wins. Preferring the emptier of two equal workers reduces collisions
-// between entries that choose at the same time.
+// the lower one wins. The emptier of two workers is less likely to be full by the time at
+// which the task arrives.
 func (s *Scheduler) tieBreak(w *Worker, size jobs.Size) float64 {
 	if w.Capacity.MilliCPU < 1 {
 		return 1
--- a/internal/runs/polls.go
+++ b/internal/runs/polls.go
@@ -24,6 +24,12 @@
 	StartUnanswered
 )
 
+// refusalOutcomes maps the outcomes of a start that the worker did not execute to those of the
+// run.
+var refusalOutcomes = map[StartOutcome]jobs.Outcome{
+	StartRefused: jobs.OutcomeRefused, StartNoCapacity: jobs.OutcomeNotRun, StartUnhealthy: jobs.OutcomeNotRun,
+}
+
 // HandleStartOutcome updates a run after the call that starts it has returned.
 func (s *Supervisor) HandleStartOutcome(ref jobs.TaskRef, entry string, number int64, outcome StartOutcome, now clock.Millis) {
 	run := s.runs[runKey{ref, entry}]
@@ -46,7 +52,7 @@
 			s.recordFailure(ref.Job, now)
 		}
 		if run.UnansweredStarts == 0 {
-			s.end(run, jobs.OutcomeNotRun, 0, outcome == StartUnhealthy, now)
+			s.end(run, refusalOutcomes[outcome], 0, outcome == StartUnhealthy, now)
 			break
 		}
 		// The worker may have executed an earlier, unanswered start or may still do so.
--- a/internal/runs/supervisor.go
+++ b/internal/runs/supervisor.go
@@ -88,8 +88,9 @@
 
 // Limits and intervals of an agent's decisions.
 const (
-	// maxQueuedMS is how long a run is queued here before its entry may try another agent.
-	maxQueuedMS clock.Millis = 60
+	// maxQueuedMS is how long a run is queued here before it is returned to its entry. The
+	// entry learns the free capacity at the same time and may know another worker.
+	maxQueuedMS clock.Millis = 5
 	// StartLeaseMS is the lease that a start carries; later polls extend it.
 	StartLeaseMS clock.Millis = 600
 	// recentEndsMS is how long ends are kept to be repeated to an entry that reconnects.
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -11,6 +11,7 @@
 	"log/slog"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/juju/errors"
 
 	"github.com/turmericbarrow/turmericbarrow/internal/clock"
@@ -238,6 +239,7 @@
 		storeReachable: true,
 		metrics:        newMetrics(),
 	}
+	e.scheduler.Seed(xxhash.Sum64String(s.Self.Incarnation))
 	e.node = link.New(link.Settings{Self: s.Self, Listen: s.LinkAddress, TLS: s.TLS, IdleTimeout: entryLinkTimeoutMS}, log)
 	return e
 }
