--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -123,19 +123,6 @@
 	}
 }
 
-// NewUnconnected returns a link to the given peer that has no connection, for tests of an
-// owner of links. The returned function returns the frames that were sent since its last call.
-func NewUnconnected(peer host.Host) (*Link, func() []*wire.Frame) {
-	l := &Link{Peer: peer, outbox: make(chan *wire.Frame, maxQueuedFrames), shutdown: make(chan struct{}, 1)}
-	return l, func() []*wire.Frame {
-		var sent []*wire.Frame
-		for len(l.outbox) > 0 {
-			sent = append(sent, <-l.outbox)
-		}
-		return sent
-	}
-}
-
 // exchangeHellos exchanges hellos, sets Peer from the received one, and checks the peer's
 // name and role against its certificate.
 func (l *Link) exchangeHellos(self host.Host) error {
--- a/internal/sched/cancel.go
+++ b/internal/sched/cancel.go
@@ -12,8 +12,9 @@
 	// A storm of cancellations then costs a bounded number of frames.
 	cancelIntervalMS clock.Millis = 50
 	// cancelMemoryMS is how long a cancellation is remembered, so that it is passed on once.
-	// It is longer than one needs to reach all entries.
-	cancelMemoryMS clock.Millis = 5000
+	// It is longer than one needs to reach all entries, and short enough that a caller who
+	// repeats it is heard.
+	cancelMemoryMS clock.Millis = 1000
 	// maxRememberedCancels bounds the memory of the relay.
 	maxRememberedCancels = 20_000
 )
@@ -34,10 +35,10 @@
 	return &cancelRelay{seenAt: map[jobs.ID]clock.Millis{}, pending: map[string][]jobs.ID{}}
 }
 
-// add records a cancellation to be passed on, unless it is remembered.
+// add records a cancellation to be passed on, unless it is remembered or names no job.
 func (r *cancelRelay) add(id jobs.ID, from string, now clock.Millis) {
 	r.forget(now)
-	if _, seen := r.seenAt[id]; seen || len(r.order) >= maxRememberedCancels {
+	if _, seen := r.seenAt[id]; seen || id == "" || len(r.order) >= maxRememberedCancels {
 		return
 	}
 	r.seenAt[id] = now
