link: Report that a link is down after StopDialing too

Cause: the event went to the owner under the context of the dialer, which StopDialing ends, and was then lost in most cases. Change: events are dropped only when the node ends. Measured: the new test fails without the change (no Down), passes with it.

--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -42,7 +42,7 @@
 type EventType int
 
 // The event types of a link. Up comes first, and no event follows Down. A link that ends
-// because of StopDialing or the end of Node.Run may omit Down.
+// because of the end of Node.Run may omit Down.
 const (
 	Up EventType = iota
 	Received
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -149,6 +149,19 @@
 	require.NotEqual(t, before, waitForEvent(t, a, link.Up).Link.RemoteAddr().String())
 }
 
+// The owner removes a link when it is down. A Down that is lost leaves a dead link in use.
+func TestStopDialingReportsThatTheLinkIsDown(t *testing.T) {
+	ns := newNodes(t)
+	_, address := ns.start(ns.authority, "a", "a", loopback, time.Hour)
+	b, _ := ns.start(ns.authority, "b", "b", "", time.Hour)
+	for range 12 {
+		b.Dial(address)
+		l := waitForEvent(t, b, link.Up).Link
+		b.StopDialing(address)
+		require.Same(t, l, waitForEvent(t, b, link.Down).Link)
+	}
+}
+
 func FuzzFrame(f *testing.F) {
 	data, err := proto.Marshal(&wire.Frame{Body: &wire.Frame_Hello{Hello: &wire.Hello{Name: "a"}}})
 	require.NoError(f, err)
--- a/internal/link/node.go
+++ b/internal/link/node.go
@@ -159,9 +159,9 @@
 	if dialing || c.address == n.settings.Self.Address {
 		return 0
 	}
-	ctx, cancel := context.WithCancel(ctx)
+	dialCtx, cancel := context.WithCancel(ctx)
 	dialers[c.address] = cancel
-	go n.keepDialing(ctx, c.address, ended)
+	go n.keepDialing(ctx, dialCtx, c.address, ended)
 	return 1
 }
 
@@ -246,12 +246,12 @@
 		conn.CloseWithError(0, "no stream")
 		return
 	}
-	n.runLink(ctx, newLink(conn, stream, ""))
+	n.runLink(ctx, ctx, newLink(conn, stream, ""))
 }
 
-// runLink exchanges hellos and runs the link until it ends. It reports whether the link
-// came up.
-func (n *Node) runLink(ctx context.Context, l *Link) bool {
+// runLink exchanges hellos and runs the link until it or linkCtx ends. It reports whether the
+// link came up. The owner gets a Down for each Up, unless ctx, the context of the node, ends.
+func (n *Node) runLink(ctx, linkCtx context.Context, l *Link) bool {
 	err := guard.Call("exchange hellos", func() error { return l.exchangeHellos(n.settings.Self) })
 	if err != nil {
 		n.log.Warn("link setup failed", "peer", l.RemoteAddr().String(), "error", err.Error())
@@ -262,7 +262,7 @@
 		l.Close(shutdownReason)
 		return false
 	}
-	err = l.run(ctx, n.events)
+	err = l.run(linkCtx, n.events)
 	n.emit(ctx, Event{Type: Down, Link: l, Err: err})
 	return true
 }
@@ -278,23 +278,24 @@
 	}
 }
 
-// keepDialing dials an address, with backoff, whenever there is no link to it.
-func (n *Node) keepDialing(ctx context.Context, address string, ended chan<- struct{}) {
+// keepDialing dials an address, with backoff, whenever there is no link to it, until dialCtx
+// ends.
+func (n *Node) keepDialing(ctx, dialCtx context.Context, address string, ended chan<- struct{}) {
 	defer func() { ended <- struct{}{} }()
 	backoff := retry.Backoff{}
-	for ctx.Err() == nil {
-		if n.dialOnce(ctx, address, handshakeTimeout(backoff.ConsecutiveFailures)) {
+	for dialCtx.Err() == nil {
+		if n.dialOnce(ctx, dialCtx, address, handshakeTimeout(backoff.ConsecutiveFailures)) {
 			backoff.Reset()
 		}
 		// The delay is shortest after a link that came up.
-		clock.Wait(ctx, min(backoff.Next(), maxRedialMS))
+		clock.Wait(dialCtx, min(backoff.Next(), maxRedialMS))
 	}
 }
 
 // dialOnce dials from a new socket and runs the link until it ends. If a device on the
 // path (such as a NAT) has lost its state for the old flow, only a new port gets through.
 // dialOnce reports whether the link came up.
-func (n *Node) dialOnce(ctx context.Context, address string, timeout time.Duration) bool {
+func (n *Node) dialOnce(ctx, dialCtx context.Context, address string, timeout time.Duration) bool {
 	addr, err := net.ResolveUDPAddr("udp", address)
 	if err != nil {
 		n.log.Error("cannot resolve peer address", "peer", address, "error", err.Error())
@@ -308,17 +309,17 @@
 	defer socket.Close()
 	t := &quic.Transport{Conn: socket}
 	defer t.Close()
-	conn, err := t.Dial(ctx, addr, n.settings.TLS, n.quicConfig(timeout))
+	conn, err := t.Dial(dialCtx, addr, n.settings.TLS, n.quicConfig(timeout))
 	if err != nil {
 		n.log.Debug("dial failed", "peer", address, "error", err.Error())
 		return false
 	}
-	stream, err := conn.OpenStreamSync(ctx)
+	stream, err := conn.OpenStreamSync(dialCtx)
 	if err != nil {
 		conn.CloseWithError(0, "no stream")
 		return false
 	}
-	return n.runLink(ctx, newLink(conn, stream, address))
+	return n.runLink(ctx, dialCtx, newLink(conn, stream, address))
 }
 
 // networkFor returns the network of an address. IPv4 is explicit because hosts may lack
