runner, sched, place: Four faults noticed earlier

(1) A restarted agent deleted its worker's record at its first tick, before a poll had confirmed the worker; a second restart then found none. (2) A renewal of an entry's record under way when it drained could arrive after the removal. (3) A failed task never got back to the only worker of its fleet once another fleet was known. (4) Orphaned runs of an earlier epoch of a worker were kept.

Change: the record stays until the worker is confirmed; the removal waits for the write; the avoided worker is used if there is no other for the task; a new epoch forgets orphans.

Measured: a test for each of the first three, which fail without the change (read off the code: deletion, join after remove, no launch).

--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -451,3 +451,18 @@
 	s.UpdateWorker(Report{Worker: newWorker("a", 16, 1), AckedLaunch: refused.Number}, 1)
 	require.Greater(t, takeLaunches(s)[0].Tasks[0].Run, 2*refused.Tasks[0].Run, "the worker may know a higher number")
 }
+
+// A failed task avoids its worker while another one could run it. The only worker of a fleet
+// used to get it never again once a worker of another fleet was known.
+func TestFailedTaskReturnsToTheOnlyWorkerOfItsFleet(t *testing.T) {
+	other := newWorker("other", 16, 1)
+	other.Fleet = "other"
+	s := newScheduler(newWorker("a", 16, 1), other)
+	s.Submit(newSubmission("job", 1, 60), 0)
+	l := takeLaunches(s)[0]
+	s.UpdateWorker(Report{Worker: newWorker("a", 16, 1), AckedLaunch: l.Number}, 1)
+	endRun(s, l, 0, jobs.OutcomeFailed, 1)
+	again := takeLaunches(s)
+	require.Len(t, again, 1)
+	require.Equal(t, "a", again[0].Agent)
+}
--- a/internal/place/schedule.go
+++ b/internal/place/schedule.go
@@ -188,15 +188,17 @@
 
 // findCandidates returns the workers that accept a task and on which it is predicted to end
 // at most endTolerance of its job's objective later than on the best one, and not late if it
-// ends in time on that one. The worker of
-// t.AvoidAgent is considered only if the scheduler knows no other worker, of any fleet and
-// in any state. The result is valid until the next call.
+// ends in time on that one. The worker of t.AvoidAgent is considered only if there is no
+// other one for the task. The result is valid until the next call.
 func (s *Scheduler) findCandidates(j *Job, t *Task, now clock.Millis) []candidate {
 	step := j.Spec.Steps[t.ID.Step]
 	s.candidates = s.candidates[:0]
 	earliest := math.Inf(1)
 	for _, w := range s.withFreeCPU {
-		if w.Agent == t.AvoidAgent && len(s.Workers) > 1 || !w.accepts(j.Queue.Fleet, step.Label, step.Size) {
+		if !w.accepts(j.Queue.Fleet, step.Label, step.Size) {
+			continue
+		}
+		if w.Agent == t.AvoidAgent && s.hasOtherWorker(j, step, w) {
 			continue
 		}
 		end := s.predictedEnd(j, w, now)
@@ -212,6 +214,17 @@
 	return slices.DeleteFunc(s.candidates, func(c candidate) bool { return c.end > latest })
 }
 
+// hasOtherWorker reports whether a task of the given step could run on a worker other than w,
+// now or later.
+func (s *Scheduler) hasOtherWorker(j *Job, step jobs.Step, w *Worker) bool {
+	for _, o := range s.Workers {
+		if o != w && o.usable() && o.fitsWhenIdle(j.Queue.Fleet, step.Label, step.Size) {
+			return true
+		}
+	}
+	return false
+}
+
 // pickCandidate returns the emptiest of a few candidates that it draws at random, or none if
 // there are none. Entries decide at the same time from reports that are out of date: if all
 // chose the worker that was best in these, it would get the tasks of all of them.
--- a/internal/runner/lease_test.go
+++ b/internal/runner/lease_test.go
@@ -99,6 +99,49 @@
 	}
 }
 
+// recordingStore holds one worker's record and counts its deletions.
+type recordingStore struct {
+	fakeStore
+	worker  runs.Worker
+	deleted chan struct{}
+}
+
+func (s recordingStore) LoadWorker(context.Context, string) (*runs.Worker, error) {
+	return &s.worker, nil
+}
+
+func (s recordingStore) SaveWorker(_ context.Context, _ string, w *runs.Worker) error {
+	if w == nil {
+		s.deleted <- struct{}{}
+	}
+	return nil
+}
+
+// silentWorker answers nothing.
+type silentWorker struct{ answeringWorker }
+
+func (silentWorker) Poll(ctx context.Context, _ runs.Worker, _, _ clock.Millis) (runs.PollResult, error) {
+	<-ctx.Done()
+	return runs.PollResult{}, ctx.Err()
+}
+
+// While the worker does not answer, a restarted agent must keep the record from which the
+// next process would take over its runs.
+func TestRecordOfUnconfirmedWorkerIsKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := recordingStore{worker: runs.Worker{ID: "w", Epoch: 1, Fleet: "f"}, deleted: make(chan struct{}, 100)}
+		a := New(Settings{Self: host.Host{Name: "a"}, LeaseMS: 1000, ResendMS: 1300}, clock.New(), silentWorker{},
+			fakeStore{}, store, slog.New(slog.NewTextHandler(io.Discard, nil)))
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error, 1)
+		go func() { done <- a.Run(ctx) }()
+		time.Sleep(5 * time.Second)
+		require.Empty(t, store.deleted)
+		cancel()
+		<-done
+	})
+}
+
 // The clocks of two entries differ by seconds. The runs of the one that is behind must not go
 // first for that.
 func TestOrderOfRunsDoesNotDependOnClocksOfEntries(t *testing.T) {
--- a/internal/runner/record.go
+++ b/internal/runner/record.go
@@ -123,11 +123,14 @@
 	}()
 }
 
-// workerToRecord returns the worker to be recorded, or nil if there is no confirmed worker
-// or it has deregistered.
+// workerToRecord returns the worker to be recorded, or nil if there is none or it has
+// deregistered. Until a poll confirms a restored worker, its record stays as it is.
 func (a *Agent) workerToRecord() *runs.Worker {
-	if !a.supervisor.Confirmed() || a.workerGone {
+	switch {
+	case a.supervisor.Worker == nil || a.workerGone:
 		return nil
+	case !a.supervisor.Confirmed():
+		return a.recordWriter.saved
 	}
 	w := *a.supervisor.Worker
 	return &w
--- a/internal/runs/supervisor.go
+++ b/internal/runs/supervisor.go
@@ -202,14 +202,15 @@
 	s.startQueued(now)
 }
 
-// startNewEpoch ends all runs of the worker's earlier epoch as lost, and resets its speed
-// and health.
+// startNewEpoch ends all runs of the worker's earlier epoch as lost, forgets its orphaned runs,
+// and resets its speed and health.
 func (s *Supervisor) startNewEpoch(now clock.Millis) {
 	for _, run := range s.sortedRuns() {
 		if run.Status != Queued {
 			s.end(run, jobs.OutcomeLost, 0, false, now)
 		}
 	}
+	s.orphaned, s.claimUntil = map[RunID]orphanedRun{}, 0
 	s.Speed, s.fastLogSpeed = 1, 0
 	s.resetHealth()
 }
--- a/internal/sched/members.go
+++ b/internal/sched/members.go
@@ -54,13 +54,23 @@
 	return guard.Call("remove an entry's record", func() error { return e.members.Remove(ctx, address) })
 }
 
+// removeOwnRecord removes this entry's record when it drains.
+func (e *Entry) removeOwnRecord(ctx context.Context) {
+	e.storeCalls++
+	go func() { e.recordResults <- e.removeRecord(ctx, e.settings.Self.Address) }()
+}
+
 // onRecordResult handles the result of a write or removal of this entry's record.
 // refreshMembers repeats a failed write unless the entry drains. A failed removal is not
 // repeated.
-func (e *Entry) onRecordResult(err error) {
+func (e *Entry) onRecordResult(ctx context.Context, err error) {
 	e.storeCalls--
 	e.writingRecord = false
 	e.registered = err == nil
+	if e.removeAfterWrite {
+		e.removeAfterWrite = false
+		e.removeOwnRecord(ctx)
+	}
 	if err != nil {
 		e.log.Warn("could not write or remove this entry's record in the store", "error", err.Error())
 	}
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -186,6 +186,9 @@
 	registered      bool
 	recordWrittenAt clock.Millis
 	writingRecord   bool
+	// removeAfterWrite is set while the record is to be removed once the write in progress
+	// has ended.
+	removeAfterWrite bool
 	// drainAt is when a draining entry stops accepting jobs, and drainDeadline when it
 	// abandons the remaining jobs; both are zero until Drain.
 	drainAt       clock.Millis
@@ -323,7 +326,7 @@
 		case m := <-e.memberLists:
 			handle = func() { e.onMemberList(ctx, m) }
 		case err := <-e.recordResults:
-			handle = func() { e.onRecordResult(err) }
+			handle = func() { e.onRecordResult(ctx, err) }
 		case err := <-e.removals:
 			handle = func() { e.onRemoval(err) }
 		case <-t.C:
@@ -460,8 +463,11 @@
 	e.drainAt = now + e.settings.ShutdownDelayMS
 	e.drainDeadline = now + e.settings.DrainMS
 	e.log.Info("leaving", "jobs", len(e.scheduler.Jobs), "serve_on_ms", int64(e.settings.ShutdownDelayMS))
-	e.storeCalls++
-	go func() { e.recordResults <- e.removeRecord(ctx, e.settings.Self.Address) }()
+	if e.writingRecord {
+		e.removeAfterWrite = true // a write that arrives after the removal would undo it
+		return
+	}
+	e.removeOwnRecord(ctx)
 }
 
 // advanceDrain makes the scheduler refuse new jobs once the shutdown delay has passed. It
--- a/internal/sched/sched_test.go
+++ b/internal/sched/sched_test.go
@@ -60,6 +60,43 @@
 	})
 }
 
+// slowMembers takes a second for each write and records the calls in the order of their ends.
+type slowMembers struct {
+	fakeMembers
+	calls chan string
+}
+
+func (m slowMembers) Join(context.Context, host.Host) error {
+	time.Sleep(time.Second)
+	m.calls <- "join"
+	return nil
+}
+
+func (m slowMembers) Remove(context.Context, string) error {
+	m.calls <- "remove"
+	return nil
+}
+
+// An entry may drain while it renews its record. A renewal that arrives after the removal
+// would list the entry when it is gone.
+func TestRecordIsRemovedAfterTheWriteInProgress(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		members := slowMembers{calls: make(chan string, 100)}
+		self := host.Host{Name: "e", Incarnation: host.NewIncarnation(), Role: host.RoleEntry}
+		e := New(Settings{Self: self, ShutdownDelayMS: 2000, DrainMS: 5000}, clock.New(), noTerms{}, members, slog.New(slog.NewTextHandler(io.Discard, nil)))
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error, 1)
+		go func() { done <- e.Run(ctx) }()
+		time.Sleep(1500 * time.Millisecond) // the first write began at the first tick after a second
+		e.Drain()
+		require.NoError(t, <-done)
+		cancel()
+		require.Equal(t, "join", <-members.calls)
+		require.Equal(t, "remove", <-members.calls)
+		require.Empty(t, members.calls)
+	})
+}
+
 // Most reports omit the worker's description, since it has not changed.
 func TestReportWithoutWorkerKeepsPreviousWorker(t *testing.T) {
 	self := host.Host{Name: "e", Incarnation: host.NewIncarnation(), Role: host.RoleEntry}
