--- a/review/_standin/worker.go
+++ b/review/_standin/worker.go
@@ -48,8 +48,6 @@
 	// lateShare is the share of the orders to start or stop a run that get no answer and are
 	// carried out lateFrom to lateTo later.
 	lateShare float64
-	// factor is how many times as long as usual the worker takes.
-	factor float64
 }
 
 // life is one life of a worker. It knows nothing of the one before.
@@ -83,7 +81,7 @@
 }
 
 func newWorker(w *world, id, ip string) *worker {
-	return &worker{world: w, id: id, ip: ip, kind: "a", factor: 1}
+	return &worker{world: w, id: id, ip: ip, kind: "a"}
 }
 
 // start begins a new life: the worker listens, and announces itself after the given time.
@@ -121,15 +119,6 @@
 	}
 }
 
-func (x *worker) setFactor(factor float64) {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	if x.life != nil {
-		x.life.advance()
-	}
-	x.factor = factor
-}
-
 // setLateShare sets the share of late orders.
 func (x *worker) setLateShare(share float64) {
 	x.mu.Lock()
@@ -173,7 +162,7 @@
 // lease has expired.
 func (f *life) advance() {
 	now := time.Now()
-	elapsed := time.Duration(float64(now.Sub(f.touched)) / f.worker.factor)
+	elapsed := now.Sub(f.touched)
 	f.touched = now
 	for k, r := range f.runs {
 		r.left -= elapsed
