--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -28,6 +28,7 @@
 
 var cases = map[string]func(w *world) (broken bool){
 	"late-duplicate":    runLateDuplicate,
+	"changed-worker":    runChangedWorker,
 	"restarted-worker":  runRestartedWorker,
 	"foreign-heartbeat": runForeignHeartbeat,
 	"killed-after-ack":  runKilledAfterAck,
