--- a/review/_standin/cases.go
+++ b/review/_standin/cases.go
@@ -200,14 +200,14 @@
 // runKilledTogether submits jobs whose tasks take some seconds. Callers whose connection breaks
 // submit their job again, at another entry. With the disruption, all entries and agents are
 // killed at once while workers leave orders unanswered and carry them out late. It does so
-// twice.
+// several times.
 func runKilledTogether(w *world) bool {
 	const (
-		rounds   = 3
+		rounds   = 5
 		workMS   = 3000
 		cpu      = 7000
 		patience = 10 * time.Second
-		settling = 5 * time.Second
+		settling = 2 * time.Second
 	)
 	w.start(3, 11)
 	done := make(chan struct{}, len(w.workers))
