runs, runner: Log why a run counts as lost and when a worker's epoch changes

Change: the supervisor emits an action Lost with a typed cause; the agent logs and counts it, and logs an epoch that a poll shows and each stop of a run that no entry holds. No decision changes.

--- a/internal/runner/calls.go
+++ b/internal/runner/calls.go
@@ -46,6 +46,8 @@
 			}
 			reports[act.Entry] = append(reports[act.Entry], act.End)
 			a.metrics.recordRunEnd(act.End.Outcome)
+		case runs.Lost:
+			a.logLoss(act)
 		}
 	}
 	for entry, ends := range reports {
@@ -59,6 +61,14 @@
 	}
 }
 
+// logLoss logs and counts a run that counts as lost.
+func (a *Agent) logLoss(l runs.Lost) {
+	a.metrics.recordLoss(l.Cause)
+	a.log.Info("run lost", "job", string(l.Run.Ref.Job), "task", l.Run.Ref.Task.String(), "run", l.Run.Number,
+		"cause", string(l.Cause), "status", l.Run.Status.String(), "started_ms_ago", int64(a.clock.Now()-l.Run.StartedAt),
+		"worker", a.supervisor.Worker.ID, "life", a.supervisor.Worker.Epoch)
+}
+
 // reportInterval returns the interval of capacity reports to entries that had no part in the
 // change.
 func (a *Agent) reportInterval() clock.Millis {
@@ -127,6 +137,10 @@
 func (a *Agent) stopRun(ctx context.Context, r runs.Run) {
 	a.activeCalls++
 	w := *a.supervisor.Worker
+	if r.Entry == "" {
+		a.log.Info("stopping a run that no entry holds", "job", string(r.Ref.Job), "task", r.Ref.Task.String(), "run", r.Number,
+			"worker", w.ID, "lease_left_ms", int64(a.renewedUntil-a.clock.Now()))
+	}
 	go func() {
 		ctx, stop := context.WithTimeout(ctx, maxCallTimeoutMS.Duration())
 		defer stop()
@@ -164,7 +178,8 @@
 	}
 	until := clock.Millis(0)
 	if a.clockOffsetKnown && !a.supervisor.HasRunningOrphans() && a.supervisor.RenewLeases(now) {
-		until = a.computeLeaseEnd(now, a.settings.LeaseMS) + a.clockOffset
+		a.renewedUntil = a.computeLeaseEnd(now, a.settings.LeaseMS)
+		until = a.renewedUntil + a.clockOffset
 	}
 	a.polling = true
 	a.activeCalls++
@@ -204,8 +219,12 @@
 		a.log.Warn("the worker listed runs that are not understood; ignored", "worker", a.supervisor.Worker.ID, "rows", r.result.MalformedRows)
 	}
 	a.setClockOffset(r.result.ClockMS)
-	confirmed := a.supervisor.Confirmed()
+	confirmed, epoch := a.supervisor.Confirmed(), a.supervisor.Epoch()
 	a.supervisor.HandlePoll(r.result, now)
+	if a.supervisor.Worker != nil && a.supervisor.Epoch() != epoch {
+		a.log.Info("a poll shows a new life of the worker", "worker", a.supervisor.Worker.ID, "life", a.supervisor.Epoch(),
+			"earlier", epoch, "held", a.supervisor.Held())
+	}
 	if !confirmed && a.supervisor.Confirmed() {
 		a.onRestoredWorkerConfirmed()
 	}
--- a/internal/runner/metrics.go
+++ b/internal/runner/metrics.go
@@ -42,6 +42,10 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf("turmericbarrow_runs_ended_total{end=%q}", outcome)).Inc()
 }
 
+func (m *Metrics) recordLoss(cause runs.LossCause) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("turmericbarrow_runs_lost_total{cause=%q}", string(cause))).Inc()
+}
+
 // Gauges are an agent's current values. Held is the number of runs that the agent holds,
 // Entries the number of linked entries.
 type Gauges struct {
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -160,6 +160,8 @@
 	// clockOffset is the worker's clock minus the agent's.
 	clockOffset      clock.Millis
 	clockOffsetKnown bool
+	// renewedUntil is the end of the leases that the last poll requested, on the agent's clock.
+	renewedUntil clock.Millis
 	// capacityReportedAt is when the capacity was last reported to all linked entries.
 	capacityReportedAt clock.Millis
 	entriesQueriedAt   clock.Millis
--- a/internal/runs/polls.go
+++ b/internal/runs/polls.go
@@ -140,6 +140,14 @@
 	s.startQueued(now)
 }
 
+// Epoch returns the worker's present epoch, or zero without a worker.
+func (s *Supervisor) Epoch() int64 {
+	if s.Worker == nil {
+		return 0
+	}
+	return s.Worker.Epoch
+}
+
 // acceptEpoch reports whether a poll belongs to the worker's present epoch or to another one
 // that has replaced it, which ends all runs of the present one. The answer to a poll shows
 // which epoch is at the worker's address, even if its number is lower: epochs are times of
@@ -200,6 +208,9 @@
 		s.recordSuccess(run, ranMS)
 	}
 	s.lastEndAt = now
+	if e.Outcome == jobs.OutcomeLost {
+		s.actions = append(s.actions, Lost{Run: *run, Cause: LossReported})
+	}
 	s.end(run, e.Outcome, ranMS, e.Outcome == jobs.OutcomeFailed, now)
 }
 
@@ -242,7 +253,7 @@
 				run.MissingSince = now
 			}
 			if now-run.MissingSince > lostAfterMS {
-				s.end(run, jobs.OutcomeLost, 0, true, now)
+				s.lose(run, LossMissing, true, now)
 			}
 		}
 	}
@@ -271,7 +282,7 @@
 	for _, run := range s.sortedRuns() {
 		// A run that started after the last renewal gets the same time, counted from its start.
 		if run.Status != Queued && run.Status != Starting && now > run.StartedAt+leaseExpiry-s.renewedAt {
-			s.end(run, jobs.OutcomeLost, 0, true, now)
+			s.lose(run, LossLeaseExpired, true, now)
 		}
 	}
 }
--- a/internal/runs/run.go
+++ b/internal/runs/run.go
@@ -40,6 +40,11 @@
 	Running
 )
 
+var statusNames = map[Status]string{Queued: "queued", Starting: "starting", Unknown: "unknown", Running: "running"}
+
+// String returns the name of the status in logs.
+func (s Status) String() string { return statusNames[s] }
+
 // Run is one attempt of a task that the agent holds.
 type Run struct {
 	Ref jobs.TaskRef
@@ -109,6 +114,28 @@
 	End   RunEnd
 }
 
+// LossCause is the reason why a run counts as lost.
+type LossCause string
+
+// The causes of a loss.
+const (
+	// LossReported: the worker listed the run as ended without a result.
+	LossReported LossCause = "reported"
+	// LossNewEpoch: the worker has started anew.
+	LossNewEpoch LossCause = "new_epoch"
+	// LossMissing: the worker no longer lists the run.
+	LossMissing LossCause = "missing"
+	// LossLeaseExpired: the worker did not answer until the run's lease had expired.
+	LossLeaseExpired LossCause = "lease_expired"
+)
+
+// Lost records why a run counts as lost; its end is in a Report.
+type Lost struct {
+	Run   Run
+	Cause LossCause
+}
+
 func (Start) action()  {}
 func (Stop) action()   {}
 func (Report) action() {}
+func (Lost) action()   {}
--- a/internal/runs/supervisor.go
+++ b/internal/runs/supervisor.go
@@ -207,7 +207,7 @@
 func (s *Supervisor) startNewEpoch(now clock.Millis) {
 	for _, run := range s.sortedRuns() {
 		if run.Status != Queued {
-			s.end(run, jobs.OutcomeLost, 0, false, now)
+			s.lose(run, LossNewEpoch, false, now)
 		}
 	}
 	s.orphaned, s.claimUntil = map[RunID]orphanedRun{}, 0
@@ -479,6 +479,12 @@
 	s.actions = append(s.actions, Report{Entry: run.Entry, End: e})
 }
 
+// lose removes a run that may have been executed in part and reports it as lost.
+func (s *Supervisor) lose(run *Run, cause LossCause, workerFault bool, now clock.Millis) {
+	s.actions = append(s.actions, Lost{Run: *run, Cause: cause})
+	s.end(run, jobs.OutcomeLost, 0, workerFault, now)
+}
+
 // startQueued starts queued runs by latest start time, up to the first that does not fit.
 func (s *Supervisor) startQueued(now clock.Millis) {
 	if s.RefusesRuns() {
