--- a/internal/runner/calls.go
+++ b/internal/runner/calls.go
@@ -170,6 +170,8 @@
 	switch {
 	case a.supervisor.RunsAtWorker() == 0:
 		wait = idlePollWaitMS
+	case a.supervisor.HasRunsOfEarlierEpoch():
+		wait = 0
 	case a.supervisor.Cautious(now):
 		wait = cautiousPollWaitMS
 	}
@@ -192,7 +194,7 @@
 			p, err = a.worker.Poll(ctx, w, until, wait)
 			return err
 		})
-		p.SentAt = now
+		p.SentAt, p.SentEpoch = now, w.Epoch
 		a.pollResults <- pollResult{result: p, err: err}
 	}()
 }
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -470,6 +470,7 @@
 		a.log.Info("worker up", "worker", m.Worker.ID, "life", m.Worker.Epoch, "fleet", m.Worker.Fleet,
 			"milli_cpu", m.Worker.Capacity.MilliCPU)
 		a.clockOffset, a.clockOffsetKnown = m.ClockMS-now, true
+		a.nextPollAt = now
 	}
 	if m.Worker.Draining && (old == nil || !old.Draining) {
 		a.log.Info("worker draining", "worker", m.Worker.ID, "held", a.supervisor.Held())
--- a/internal/runs/orphans.go
+++ b/internal/runs/orphans.go
@@ -95,6 +95,7 @@
 	delete(s.orphaned, id)
 	run.Status = Running
 	run.StartedAt = now
+	run.Epoch = s.Worker.Epoch
 	run.Claimed = true
 	s.runs[runKey{run.Ref, run.Entry}] = &run
 	s.used = s.used.Plus(run.Size)
--- a/internal/runs/polls.go
+++ b/internal/runs/polls.go
@@ -43,7 +43,9 @@
 		run.UnansweredStarts++
 		s.unansweredAt = now
 		if run.UnansweredStarts < maxUnansweredStarts && !run.Stopping {
-			s.retryStart(run, now)
+			// Starts are idempotent: the worker confirms a run that it already has and refuses
+			// one that has ended.
+			s.sendStart(run, now)
 			return
 		}
 		s.markUnknown(run)
@@ -64,13 +66,6 @@
 	s.startQueued(now)
 }
 
-// retryStart repeats a start. Starts are idempotent: the worker confirms a run that it
-// already has and refuses one that has ended.
-func (s *Supervisor) retryStart(run *Run, now clock.Millis) {
-	run.StartedAt = now
-	s.actions = append(s.actions, Start{Run: *run})
-}
-
 // markUnknown marks a run that the worker may or may not have as Unknown and to be stopped:
 // the expiry of the lease would resolve its state as well, but a stop does so sooner.
 func (s *Supervisor) markUnknown(run *Run) {
@@ -105,6 +100,9 @@
 	ClockMS clock.Millis
 	// SentAt is when the poll was sent, on the agent's clock.
 	SentAt clock.Millis
+	// SentEpoch is the epoch that the poll carried as its fencing token. Once it is answered,
+	// the worker executes no call that carries a lower one.
+	SentEpoch int64
 	// Epoch is the worker's epoch at the answer; zero if not reported.
 	Epoch   int64
 	Running []RunID
@@ -149,7 +147,7 @@
 }
 
 // acceptEpoch reports whether a poll belongs to the worker's present epoch or to another one
-// that has replaced it, which ends all runs of the present one. The answer to a poll shows
+// that has replaced it. The answer to a poll shows
 // which epoch is at the worker's address, even if its number is lower: epochs are times of
 // day, and the clock of a host may step back between two starts of its worker. An answer to
 // a poll that was sent before the present epoch was known may be out of date, and an epoch
@@ -164,7 +162,7 @@
 	s.retireEpoch(now)
 	s.Worker.Epoch = p.Epoch
 	s.announced = -1
-	s.startNewEpoch(now)
+	s.startNewEpoch()
 	return true
 }
 
@@ -227,6 +225,7 @@
 		return
 	}
 	run.MissingSince = 0
+	run.Epoch = s.Worker.Epoch
 	if run.Status == Unknown {
 		run.Status = Running
 	}
@@ -235,26 +234,46 @@
 	}
 }
 
-// resolveUnlisted updates the runs that the worker lists neither as running nor as ended. A
-// run that was started after the poll was sent may be missing from its result.
+// resolveUnlisted updates the runs that the worker lists neither as running nor as ended.
 func (s *Supervisor) resolveUnlisted(p PollResult, listed map[RunID]bool, now clock.Millis) {
 	for _, run := range s.sortedRuns() {
-		if listed[RunID{run.Ref, run.Number}] || run.StartedAt >= p.SentAt {
-			continue
+		switch {
+		case run.Status == Queued || listed[RunID{run.Ref, run.Number}]:
+		case s.isOfEarlierEpoch(run):
+			s.resolveEarlierEpoch(p, run, now)
+		default:
+			s.resolvePresentEpoch(p, run, now)
+		}
+	}
+}
+
+// resolveEarlierEpoch ends an unlisted run of an earlier epoch if the poll carried the present
+// one: the worker does not have the run and will not execute a late start of it. Until then the
+// worker may still accept the start, although it has started anew.
+func (s *Supervisor) resolveEarlierEpoch(p PollResult, run *Run, now clock.Millis) {
+	if p.SentEpoch == s.Worker.Epoch {
+		s.lose(run, LossNewEpoch, false, now)
+	}
+}
+
+// resolvePresentEpoch updates an unlisted run of the present epoch. A run that was started
+// after the poll was sent may be missing from its result.
+func (s *Supervisor) resolvePresentEpoch(p PollResult, run *Run, now clock.Millis) {
+	if run.StartedAt >= p.SentAt {
+		return
+	}
+	switch run.Status {
+	case Unknown:
+		stopped := run.StopAckedAt > 0 && p.SentAt >= run.StopAckedAt
+		if stopped || p.ClockMS > run.LeaseUntil {
+			s.end(run, jobs.OutcomeNotRun, 0, false, now)
+		}
+	case Running:
+		if run.MissingSince == 0 {
+			run.MissingSince = now
 		}
-		switch run.Status {
-		case Unknown:
-			stopped := run.StopAckedAt > 0 && p.SentAt >= run.StopAckedAt
-			if stopped || p.ClockMS > run.LeaseUntil {
-				s.end(run, jobs.OutcomeNotRun, 0, false, now)
-			}
-		case Running:
-			if run.MissingSince == 0 {
-				run.MissingSince = now
-			}
-			if now-run.MissingSince > lostAfterMS {
-				s.lose(run, LossMissing, true, now)
-			}
+		if now-run.MissingSince > lostAfterMS {
+			s.lose(run, LossMissing, true, now)
 		}
 	}
 }
--- a/internal/runs/run.go
+++ b/internal/runs/run.go
@@ -62,6 +62,10 @@
 	// order, lowest first.
 	LatestStart int64
 	Status      Status
+	// Epoch is the worker's epoch that the last start of the run names, or in which a poll has
+	// listed the run since; zero while Queued. A start may be accepted by the next epoch, if
+	// that has begun and is not known here.
+	Epoch int64
 	// Stopping is set once the run is to be stopped, and stays set until it has ended. A
 	// queued run is returned to its entry instead.
 	Stopping bool
@@ -121,7 +125,7 @@
 const (
 	// LossReported: the worker listed the run as ended without a result.
 	LossReported LossCause = "reported"
-	// LossNewEpoch: the worker has started anew.
+	// LossNewEpoch: the worker has started anew and does not have the run.
 	LossNewEpoch LossCause = "new_epoch"
 	// LossMissing: the worker no longer lists the run.
 	LossMissing LossCause = "missing"
--- a/internal/runs/supervisor.go
+++ b/internal/runs/supervisor.go
@@ -191,7 +191,7 @@
 		s.restored = old.Epoch == w.Epoch
 	}
 	if old != nil && old.Epoch != w.Epoch {
-		s.startNewEpoch(now)
+		s.startNewEpoch()
 	}
 	if old == nil || old.Epoch != w.Epoch || old.Draining != w.Draining || old.Capacity != w.Capacity || old.Fleet != w.Fleet {
 		s.NotifyNow = true
@@ -202,13 +202,13 @@
 	s.startQueued(now)
 }
 
-// startNewEpoch ends all runs of the worker's earlier epoch as lost, forgets its orphaned runs,
-// and resets its speed and health.
-func (s *Supervisor) startNewEpoch(now clock.Millis) {
-	for _, run := range s.sortedRuns() {
-		if run.Status != Queued {
-			s.lose(run, LossNewEpoch, false, now)
-		}
+// startNewEpoch forgets the orphaned runs of the worker's earlier epoch and resets the worker's
+// speed and health. The held runs stay until a poll resolves them: the new epoch may have
+// accepted a start or a stop that was sent before it was known here.
+func (s *Supervisor) startNewEpoch() {
+	for _, run := range s.runs {
+		run.StopAckedAt = 0
+		run.MissingSince = 0
 	}
 	s.orphaned, s.claimUntil = map[RunID]orphanedRun{}, 0
 	s.Speed, s.fastLogSpeed = 1, 0
@@ -379,6 +379,23 @@
 	return n
 }
 
+// HasRunsOfEarlierEpoch reports whether the worker may or may not have some runs because it
+// started anew. The next poll that carries the present epoch resolves them.
+func (s *Supervisor) HasRunsOfEarlierEpoch() bool {
+	for _, run := range s.runs {
+		if s.isOfEarlierEpoch(run) {
+			return true
+		}
+	}
+	return false
+}
+
+// isOfEarlierEpoch reports whether a run may be at the worker by a start that names an earlier
+// epoch, and no poll has listed it in the present one.
+func (s *Supervisor) isOfEarlierEpoch(run *Run) bool {
+	return run.Status != Queued && run.Epoch != s.Worker.Epoch
+}
+
 // Cautious reports whether calls to the worker may go unanswered, because some recently did,
 // or a run has to be resolved soon, because it is to be stopped.
 func (s *Supervisor) Cautious(now clock.Millis) bool {
@@ -509,11 +526,16 @@
 		}
 		free = free.Minus(run.Size)
 		run.Status = Starting
-		run.StartedAt = now
-		s.actions = append(s.actions, Start{Run: *run})
+		s.sendStart(run, now)
 	}
 }
 
+func (s *Supervisor) sendStart(run *Run, now clock.Millis) {
+	run.StartedAt = now
+	run.Epoch = s.Worker.Epoch
+	s.actions = append(s.actions, Start{Run: *run})
+}
+
 // earlierRunAtWorker reports whether the worker may still have another run of the task.
 func (s *Supervisor) earlierRunAtWorker(run *Run) bool {
 	for k, o := range s.runs {
