--- a/internal/runner/calls.go
+++ b/internal/runner/calls.go
@@ -179,7 +179,7 @@
 		wait = 0 // leases can be renewed only once the worker's clock is known
 	}
 	until := clock.Millis(0)
-	if a.clockOffsetKnown && !a.supervisor.HasRunningOrphans() && a.supervisor.RenewLeases(now) {
+	if a.clockOffsetKnown && a.supervisor.RenewLeases(now) {
 		a.renewedUntil = a.computeLeaseEnd(now, a.settings.LeaseMS)
 		until = a.renewedUntil + a.clockOffset
 	}
--- a/internal/runs/orphans.go
+++ b/internal/runs/orphans.go
@@ -1,24 +1,32 @@
 package runs
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"sort"
 
 	"github.com/turmericbarrow/turmericbarrow/internal/clock"
 	"github.com/turmericbarrow/turmericbarrow/internal/jobs"
 )
 
-// orphanedRun is a run that an earlier agent process started and that no entry has
-// claimed yet: an entry claims it by requesting a run with the same task and number.
+// orphanedRun is a run at the worker that the agent does not hold: an earlier agent process
+// started it. During the claim window an entry claims it by requesting a run with the same task
+// and number. After that it is stopped.
 type orphanedRun struct {
-	// HasEnded is set once the run has ended; Outcome is valid from then on.
+	// HasEnded is set once the run has ended; Outcome is valid from then on. Ended orphans are
+	// kept until the claim window closes.
 	HasEnded bool
 	Outcome  jobs.Outcome
+	// StopSentAt is when a stop was last sent to the worker; zero while the run may be claimed.
+	StopSentAt clock.Millis
 }
 
 // claimWindowMS is how long entries may claim the runs of an earlier agent process. It is
 // longer than a new process needs to connect to the entries, and shorter than the leases
 // that the earlier process left. Leases are not renewed meanwhile, since the entry that
-// requested a run may be gone and its callers about to resubmit.
+// requested a run may be gone and its callers about to resubmit. For the same reason they are
+// not renewed after it until the orphaned runs have ended.
 const claimWindowMS clock.Millis = 250
 
 // Restore sets the worker that an earlier agent process recorded in the store, unless one
@@ -56,13 +64,26 @@
 	return true
 }
 
-// recordOrphans records the runs in a poll result that an earlier agent process started.
-func (s *Supervisor) recordOrphans(p PollResult) {
+// updateOrphans replaces the running orphans by the runs that a poll lists and the agent does
+// not hold, and records those that have ended while they may be claimed.
+func (s *Supervisor) updateOrphans(p PollResult) {
+	orphaned := map[RunID]orphanedRun{}
 	for _, id := range p.Running {
 		if s.findRun(id.Ref, id.Number) == nil {
-			s.orphaned[id] = orphanedRun{}
+			orphaned[id] = s.orphaned[id]
 		}
 	}
+	for id, o := range s.orphaned {
+		if o.HasEnded {
+			orphaned[id] = o
+		}
+	}
+	hadRunning := s.HasRunningOrphans()
+	s.orphaned = orphaned
+	s.NotifyNow = s.NotifyNow || s.HasRunningOrphans() != hadRunning
+	if s.claimUntil == 0 {
+		return
+	}
 	for _, e := range p.Ended {
 		if s.findRun(e.Ref, e.Number) == nil {
 			s.orphaned[RunID{e.Ref, e.Number}] = orphanedRun{HasEnded: true, Outcome: e.Outcome}
@@ -70,8 +91,11 @@
 	}
 }
 
-// Orphans returns the unclaimed runs of an earlier agent process, running and ended.
+// Orphans returns the runs that entries may claim, running and ended.
 func (s *Supervisor) Orphans() (running []RunID, ended []EndedRun) {
+	if s.claimUntil == 0 {
+		return nil, nil
+	}
 	for id, o := range s.orphaned {
 		if o.HasEnded {
 			ended = append(ended, EndedRun{id.Ref, id.Number, o.Outcome})
@@ -89,7 +113,7 @@
 func (s *Supervisor) claim(run Run, now clock.Millis) bool {
 	id := RunID{run.Ref, run.Number}
 	orphan, ok := s.orphaned[id]
-	if !ok {
+	if !ok || s.claimUntil == 0 {
 		return false
 	}
 	delete(s.orphaned, id)
@@ -105,23 +129,47 @@
 	return true
 }
 
-// expireClaims closes the claim window once it is over and stops the orphaned runs that no
-// entry has claimed.
+// expireClaims closes the claim window once it is over. Orphans that have ended are forgotten.
 func (s *Supervisor) expireClaims(now clock.Millis) {
 	if s.claimUntil == 0 || now < s.claimUntil {
 		return
 	}
 	s.claimUntil = 0
-	running, _ := s.Orphans()
-	for _, id := range running {
+	maps.DeleteFunc(s.orphaned, func(_ RunID, o orphanedRun) bool { return o.HasEnded })
+	s.NotifyNow = true
+}
+
+// stopOrphans sends stops to the running orphans that no entry may claim any more, and repeats
+// them until polls no longer list the runs.
+func (s *Supervisor) stopOrphans(now clock.Millis) {
+	if s.claimUntil > 0 {
+		return
+	}
+	for _, id := range slices.SortedFunc(maps.Keys(s.orphaned), compareRunIDs) {
+		o := s.orphaned[id]
+		if o.StopSentAt > 0 && now-o.StopSentAt < stopRetryMS {
+			continue
+		}
+		o.StopSentAt = now
+		s.orphaned[id] = o
 		s.actions = append(s.actions, Stop{Run: Run{Ref: id.Ref, Number: id.Number}})
 	}
-	s.orphaned = map[RunID]orphanedRun{}
-	s.NotifyNow = true
 }
 
-// HasRunningOrphans reports whether any orphaned run has not ended. The capacity that such a
-// run uses is unknown until it is claimed.
+func compareRunIDs(a, b RunID) int {
+	if refBefore(a.Ref, b.Ref) {
+		return -1
+	}
+	if refBefore(b.Ref, a.Ref) {
+		return 1
+	}
+	return cmp.Compare(a.Number, b.Number)
+}
+
+// HasRunningOrphans reports whether any orphaned run has not ended. While there is one, the
+// worker accepts no runs and its leases are not renewed: the capacity that the orphan uses is
+// unknown, a start or a renewal would extend its lease, and its caller may have resubmitted the
+// job.
 func (s *Supervisor) HasRunningOrphans() bool {
 	for _, o := range s.orphaned {
 		if !o.HasEnded {
--- a/internal/runs/orphans_test.go
+++ b/internal/runs/orphans_test.go
@@ -83,11 +83,60 @@
 	require.True(t, s.NeedsFrequentTicks())
 	s.Tick(5 + claimWindowMS)
 	require.Equal(t, []jobs.TaskRef{ref("a", 0)}, takeStops(s))
-	require.False(t, s.RefusesRuns())
+	require.True(t, s.RefusesRuns(), "a start would extend the lease of the orphan")
 	s.HandlePoll(PollResult{ClockMS: 600, SentAt: 590, Epoch: 1, Running: []RunID{{ref("a", 0), 3}}}, 600)
 	require.Equal(t, []jobs.TaskRef{ref("a", 0)}, takeStops(s), "stops are repeated while the run is listed")
 }
 
+// Guards against a second run of a task on another worker (review/2): all processes were killed,
+// and the next agent renewed the lease of a run that no entry held, while its stop was carried
+// out late. The caller had resubmitted the job before the run ended.
+func TestOrphanIsStoppedAndItsLeaseIsNotRenewed(t *testing.T) {
+	s := New()
+	s.Restore(testWorker)
+	both := []RunID{{ref("a", 0), 3}, {ref("b", 0), 1}}
+	s.HandlePoll(PollResult{ClockMS: 5, SentAt: 1, Epoch: 1, Running: both}, 5)
+	s.Launch([]Run{newClaim(0)}, 10)
+	now := 5 + claimWindowMS
+	s.Tick(now)
+	require.Equal(t, []jobs.TaskRef{ref("b", 0)}, takeStops(s))
+	require.False(t, s.RenewLeases(now))
+	require.True(t, s.Cautious(now), "a poll sees soon that the run has ended")
+	require.True(t, s.NeedsFrequentTicks())
+	s.Tick(now + stopRetryMS - 1)
+	require.Empty(t, takeStops(s))
+	now += stopRetryMS
+	s.Tick(now)
+	require.Equal(t, []jobs.TaskRef{ref("b", 0)}, takeStops(s), "repeated without an answered poll")
+	s.Launch([]Run{newRun(entryB, "c", 0, 0)}, now)
+	require.Equal(t, []RunEnd{{Ref: ref("c", 0), Number: 1, Outcome: jobs.OutcomeNotRun}}, takeEnds(s))
+	late := newRun(entryB, "b", 0, 0)
+	s.Launch([]Run{late}, now)
+	require.Equal(t, jobs.OutcomeNotRun, takeEnds(s)[0].Outcome, "it is too late for a claim")
+	s.HandlePoll(PollResult{ClockMS: 400, SentAt: now, Epoch: 1, Running: both}, now+5)
+	require.False(t, s.RenewLeases(now+5))
+	s.HandlePoll(PollResult{ClockMS: 420, SentAt: now + 5, Epoch: 1, Running: both[:1],
+		Ended: []EndedRun{{ref("b", 0), 1, jobs.OutcomeStopped}}}, now+25)
+	require.True(t, s.RenewLeases(now+25))
+	require.False(t, s.RefusesRuns())
+	require.Equal(t, 1, s.RunsAtWorker(), "the claimed run continues")
+}
+
+// A start that the earlier agent process sent may be executed after the claim window.
+func TestRunThatAppearsLaterIsStoppedAndItsLeaseIsNotRenewed(t *testing.T) {
+	s := newSupervisor()
+	s.Launch([]Run{newRun(entryA, "held", 0, 0)}, 0)
+	s.TakeActions()
+	running := []RunID{{ref("held", 0), 1}, {ref("orphan", 0), 4}}
+	s.HandlePoll(PollResult{ClockMS: 20, SentAt: 10, Running: running}, 20)
+	require.Equal(t, []jobs.TaskRef{ref("orphan", 0)}, takeStops(s))
+	require.False(t, s.RenewLeases(20))
+	answerStart(s, ref("held", 0), entryA, StartUnanswered, 25)
+	require.Empty(t, takeStarts(s), "a repeated start would extend the lease as well")
+	s.HandlePoll(PollResult{ClockMS: 50, SentAt: 30, Running: running[:1]}, 50)
+	require.True(t, s.RenewLeases(50))
+}
+
 func TestSameExceptDraining(t *testing.T) {
 	draining, relabeled := testWorker, testWorker
 	draining.Draining = true
--- a/internal/runs/polls.go
+++ b/internal/runs/polls.go
@@ -42,7 +42,7 @@
 	case StartUnanswered:
 		run.UnansweredStarts++
 		s.unansweredAt = now
-		if run.UnansweredStarts < maxUnansweredStarts && !run.Stopping {
+		if run.UnansweredStarts < maxUnansweredStarts && !run.Stopping && !s.HasRunningOrphans() {
 			// Starts are idempotent: the worker confirms a run that it already has and refuses
 			// one that has ended.
 			s.sendStart(run, now)
@@ -117,9 +117,7 @@
 	if !s.confirm(p, now) || !s.acceptEpoch(p, now) {
 		return
 	}
-	if s.claimUntil > 0 {
-		s.recordOrphans(p)
-	}
+	s.updateOrphans(p)
 	s.failedPolls = 0
 	s.lastPollAt = now
 	if s.Unreachable {
@@ -135,6 +133,7 @@
 		s.handleRunning(id, now)
 	}
 	s.resolveUnlisted(p, listed, now)
+	s.stopOrphans(now)
 	s.startQueued(now)
 }
 
@@ -216,13 +215,7 @@
 func (s *Supervisor) handleRunning(id RunID, now clock.Millis) {
 	run := s.findRun(id.Ref, id.Number)
 	if run == nil {
-		if s.claimUntil > 0 {
-			return // an orphaned run, which an entry may still claim
-		}
-		// The agent does not hold the run. For example, an earlier agent process started
-		// it and no entry has claimed it.
-		s.actions = append(s.actions, Stop{Run: Run{Ref: id.Ref, Number: id.Number}})
-		return
+		return // an orphan
 	}
 	run.MissingSince = 0
 	run.Epoch = s.Worker.Epoch
@@ -307,9 +300,9 @@
 }
 
 // RenewLeases reports whether a poll sent at now may renew the worker's leases. If so, it
-// records now as the time of the renewal.
+// records now as the time of the renewal. A renewal applies to everything on the worker.
 func (s *Supervisor) RenewLeases(now clock.Millis) bool {
-	if s.unresponsive(now) {
+	if s.unresponsive(now) || s.HasRunningOrphans() {
 		return false
 	}
 	s.renewedAt = now
--- a/internal/runs/supervisor.go
+++ b/internal/runs/supervisor.go
@@ -41,8 +41,8 @@
 	actions []Action
 	// restored is set while the worker comes from a record that no poll has confirmed yet.
 	restored bool
-	// orphaned holds the unclaimed runs that an earlier agent process started. It is emptied
-	// when the claim window closes.
+	// orphaned holds the unclaimed runs that an earlier agent process started. Running ones stay
+	// until a poll no longer lists them.
 	orphaned map[RunID]orphanedRun
 	// claimUntil is the end of the claim window, in which entries may claim orphaned runs;
 	// zero while the window is closed.
@@ -368,9 +368,9 @@
 	return len(s.runs)
 }
 
-// RunsAtWorker returns the number of runs that the worker may have.
+// RunsAtWorker returns the number of runs that the worker may have, orphans included.
 func (s *Supervisor) RunsAtWorker() int {
-	n := 0
+	n := len(s.orphaned)
 	for _, run := range s.runs {
 		if run.Status != Queued {
 			n++
@@ -397,9 +397,9 @@
 }
 
 // Cautious reports whether calls to the worker may go unanswered, because some recently did,
-// or a run has to be resolved soon, because it is to be stopped.
+// or a run has to be resolved soon, because it is orphaned or to be stopped.
 func (s *Supervisor) Cautious(now clock.Millis) bool {
-	if s.unansweredAt > 0 && now-s.unansweredAt < cautiousMS {
+	if s.unansweredAt > 0 && now-s.unansweredAt < cautiousMS || s.HasRunningOrphans() {
 		return true
 	}
 	for _, run := range s.runs {
@@ -432,10 +432,10 @@
 }
 
 // NeedsFrequentTicks reports whether Tick has to be called at short intervals: while runs are
-// queued or being stopped, an entry is disconnected, the claim window is open, or a restored
-// worker is unconfirmed.
+// queued, orphaned or being stopped, an entry is disconnected, the claim window is open, or a
+// restored worker is unconfirmed.
 func (s *Supervisor) NeedsFrequentTicks() bool {
-	if len(s.disconnected) > 0 || s.claimUntil > 0 || s.restored {
+	if len(s.disconnected) > 0 || s.claimUntil > 0 || s.restored || s.HasRunningOrphans() {
 		return true
 	}
 	for _, run := range s.runs {
@@ -472,6 +472,7 @@
 		s.Changed = true
 	}
 	s.expireClaims(now)
+	s.stopOrphans(now)
 	s.checkStalled(now)
 	s.startQueued(now)
 }
