runs, runner: Use an announced worker only once a poll has listed its runs

Cause: an agent process that learns of its worker by an announcement, because the store is away or slow when it starts, renewed the worker's leases and started runs before it knew of the runs that an earlier process had left, and then stopped these although their entries could still claim them. Change: the first worker of a process is unconfirmed until a poll has listed its runs, whether it comes from the record or from an announcement. Claims, stops and leases then go the one way. The poll waits for nothing, so this takes a round trip on the host. What is announced meanwhile is recorded before it is acknowledged, as before. Result: TestAnnouncedWorkerIsNotUsedBeforeItsRunsAreListed and the announcement case of TestRestartedAgentStopsOrphanAndDoesNotRenewItsLease fail before (renewals: one a poll until the run has ended) and pass.

--- a/internal/runner/calls.go
+++ b/internal/runner/calls.go
@@ -168,10 +168,10 @@
 	}
 	wait, timeout := pollWaitMS, callTimeout(a.supervisor.FailedPolls())
 	switch {
+	case !a.supervisor.Confirmed() || a.supervisor.HasRunsOfEarlierEpoch():
+		wait = 0
 	case a.supervisor.RunsAtWorker() == 0:
 		wait = idlePollWaitMS
-	case a.supervisor.HasRunsOfEarlierEpoch():
-		wait = 0
 	case a.supervisor.Cautious(now):
 		wait = cautiousPollWaitMS
 	}
@@ -228,13 +228,13 @@
 			"earlier", epoch, "held", a.supervisor.Held())
 	}
 	if !confirmed && a.supervisor.Confirmed() {
-		a.onRestoredWorkerConfirmed()
+		a.onWorkerConfirmed()
 	}
 }
 
-// onRestoredWorkerConfirmed sends every linked entry a new inventory, which now lists the
-// orphaned runs. The logged counts are those of the orphaned runs.
-func (a *Agent) onRestoredWorkerConfirmed() {
+// onWorkerConfirmed sends every linked entry a new inventory, which now lists the runs of an
+// earlier agent process. The logged counts are those of these runs.
+func (a *Agent) onWorkerConfirmed() {
 	running, ended := a.supervisor.Orphans()
 	a.log.Info("worker taken over", "worker", a.supervisor.Worker.ID, "running", len(running), "ended", len(ended))
 	for entry, l := range a.links {
--- a/internal/runner/lease_test.go
+++ b/internal/runner/lease_test.go
@@ -32,6 +32,7 @@
 	a := New(Settings{Self: host.Host{Name: "a"}, LeaseMS: 1000, ResendMS: 1300}, clock.New(), nil,
 		fakeStore{}, fakeStore{}, slog.New(slog.NewTextHandler(io.Discard, nil)))
 	a.supervisor.Announce(runs.Worker{ID: "w", Epoch: 1, Fleet: "f", Capacity: jobs.Size{MilliCPU: 4000}}, 0)
+	a.supervisor.HandlePoll(runs.PollResult{SentEpoch: 1, Epoch: 1}, 0)
 	a.lastReceived["gone"], a.lastReceived["lives"] = 1000, 1900
 	require.Equal(t, clock.Millis(2900), a.computeLeaseEnd(1900, 1000), "the worker has no runs of the unresponsive entry")
 	a.lastReceived["gone"] = 1000
@@ -99,6 +100,81 @@
 	}
 }
 
+// An agent process may end right after it has acknowledged the first announcement it received.
+func TestFirstAnnouncementOfDrainingIsAcknowledgedOnceRecorded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const saveTime = 100 * time.Millisecond
+		a := New(Settings{Self: host.Host{Name: "a"}, LeaseMS: 1000, ResendMS: 1300}, clock.New(), silentWorker{},
+			fakeStore{}, slowStore{saveTime: saveTime}, slog.New(slog.NewTextHandler(io.Discard, nil)))
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error, 1)
+		go func() { done <- a.Run(ctx) }()
+		start, handled := time.Now(), make(chan struct{})
+		a.Announce(ctx, Announcement{Worker: runs.Worker{ID: "w", Epoch: 1, Fleet: "f", Draining: true,
+			Capacity: jobs.Size{MilliCPU: 1}}, Sequence: 1, ClockMS: 1, Handled: handled})
+		<-handled
+		require.GreaterOrEqual(t, time.Since(start), saveTime)
+		cancel()
+		<-done
+	})
+}
+
+// orphanWorker runs a task that no entry holds, until it has received the third stop of it.
+type orphanWorker struct {
+	answeringWorker
+	stops    chan time.Time
+	renewals chan clock.Millis
+}
+
+const stopsOfOrphan = 3
+
+func (w orphanWorker) Stop(context.Context, runs.Worker, jobs.TaskRef, int64) error {
+	w.stops <- time.Now()
+	return nil
+}
+
+func (w orphanWorker) Poll(_ context.Context, target runs.Worker, leaseUntil, wait clock.Millis) (runs.PollResult, error) {
+	result := runs.PollResult{ClockMS: 1, Epoch: target.Epoch}
+	if len(w.stops) < stopsOfOrphan {
+		if leaseUntil > 0 {
+			w.renewals <- leaseUntil
+		}
+		result.Running = []runs.RunID{{Ref: jobs.TaskRef{Job: "j"}, Number: 1}}
+	}
+	time.Sleep(wait.Duration())
+	return result, nil
+}
+
+// Guards against a second run of a task on another worker (review/2): the lease of a run that no
+// entry holds was renewed, and its stop was repeated only after the next answered poll. An agent
+// knows its worker from the record or, while the store is away, from an announcement.
+func TestRestartedAgentStopsOrphanAndDoesNotRenewItsLease(t *testing.T) {
+	known := runs.Worker{ID: "w", Epoch: 1, Fleet: "f", Capacity: jobs.Size{MilliCPU: 1}}
+	for name, store := range map[string]WorkerStore{
+		"record": recordingStore{worker: known, deleted: make(chan struct{}, 1)}, "announcement": fakeStore{},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := orphanWorker{stops: make(chan time.Time, 100), renewals: make(chan clock.Millis, 100)}
+				a := New(Settings{Self: host.Host{Name: "a"}, LeaseMS: 1000, ResendMS: 1300}, clock.New(), w,
+					fakeStore{}, store, slog.New(slog.NewTextHandler(io.Discard, nil)))
+				ctx, cancel := context.WithCancel(t.Context())
+				done := make(chan error, 1)
+				go func() { done <- a.Run(ctx) }()
+				time.Sleep(10 * time.Millisecond)
+				a.Announce(ctx, Announcement{Worker: known, Sequence: 1, ClockMS: 1, Handled: make(chan struct{})})
+				time.Sleep(time.Second)
+				cancel()
+				<-done
+				require.Empty(t, w.renewals)
+				require.Len(t, w.stops, stopsOfOrphan)
+				first := <-w.stops
+				require.LessOrEqual(t, (<-w.stops).Sub(first), 2*busyInterval+60*time.Millisecond)
+			})
+		})
+	}
+}
+
 // recordingStore holds one worker's record and counts its deletions.
 type recordingStore struct {
 	fakeStore
--- a/internal/runner/record.go
+++ b/internal/runner/record.go
@@ -124,13 +124,10 @@
 }
 
 // workerToRecord returns the worker to be recorded, or nil if there is none or it has
-// deregistered. Until a poll confirms a restored worker, its record stays as it is.
+// deregistered. A restored worker is the recorded one until it announces itself.
 func (a *Agent) workerToRecord() *runs.Worker {
-	switch {
-	case a.supervisor.Worker == nil || a.workerGone:
+	if a.supervisor.Worker == nil || a.workerGone {
 		return nil
-	case !a.supervisor.Confirmed():
-		return a.recordWriter.saved
 	}
 	w := *a.supervisor.Worker
 	return &w
--- a/internal/runs/orphans.go
+++ b/internal/runs/orphans.go
@@ -38,23 +38,22 @@
 		return
 	}
 	s.Worker = &w
-	s.restored = true
+	s.unconfirmed = true
 }
 
-// Confirmed reports whether there is a worker, other than one that was restored from a
-// record and whose epoch is still to be confirmed.
+// Confirmed reports whether there is a worker whose epoch and runs a poll has confirmed.
 func (s *Supervisor) Confirmed() bool {
-	return s.Worker != nil && !s.restored
+	return s.Worker != nil && !s.unconfirmed
 }
 
-// confirm compares the epoch of a restored worker's first poll with its record, and opens
-// the claim window if they agree. Otherwise it drops the worker, whose next announcement
+// confirm compares the epoch of a worker's first poll with its record or announcement, and
+// opens the claim window if they agree. Otherwise it drops the worker, whose next announcement
 // describes the new epoch. It reports whether the poll can be used.
 func (s *Supervisor) confirm(p PollResult, now clock.Millis) bool {
-	if !s.restored {
+	if !s.unconfirmed {
 		return true
 	}
-	s.restored = false
+	s.unconfirmed = false
 	s.NotifyNow = true
 	if p.Epoch != s.Worker.Epoch {
 		s.Worker = nil
--- a/internal/runs/orphans_test.go
+++ b/internal/runs/orphans_test.go
@@ -48,7 +48,25 @@
 	next := testWorker
 	next.Epoch = 2
 	s.Announce(next, 6)
+	require.False(t, s.Confirmed(), "an earlier process may have started runs in the new epoch")
+	s.HandlePoll(PollResult{ClockMS: 7, SentAt: 6, SentEpoch: 2, Epoch: 2}, 7)
 	require.True(t, s.Confirmed())
+	require.Equal(t, int64(2), s.Worker.Epoch)
+}
+
+// Guards against a renewed lease of a run that no entry holds, as in review/2, by an agent that
+// starts while the store is away and learns of its worker by an announcement.
+func TestAnnouncedWorkerIsNotUsedBeforeItsRunsAreListed(t *testing.T) {
+	s := New()
+	s.Announce(testWorker, 0)
+	require.False(t, s.RenewLeases(0))
+	s.Launch([]Run{newRun(entryA, "b", 0, 0)}, 1)
+	require.Equal(t, jobs.OutcomeNotRun, takeEnds(s)[0].Outcome)
+	s.HandlePoll(PollResult{ClockMS: 5, SentAt: 1, Epoch: 1, Running: []RunID{{ref("a", 0), 3}}}, 5)
+	require.False(t, s.RenewLeases(5))
+	s.Launch([]Run{newClaim(0)}, 10)
+	require.Empty(t, s.TakeActions(), "the run continues for the entry that claims it")
+	require.True(t, s.RenewLeases(10))
 }
 
 func TestClaimedOrphanContinues(t *testing.T) {
--- a/internal/runs/polls.go
+++ b/internal/runs/polls.go
@@ -302,7 +302,7 @@
 // RenewLeases reports whether a poll sent at now may renew the worker's leases. If so, it
 // records now as the time of the renewal. A renewal applies to everything on the worker.
 func (s *Supervisor) RenewLeases(now clock.Millis) bool {
-	if s.unresponsive(now) || s.HasRunningOrphans() {
+	if s.unresponsive(now) || s.unconfirmed || s.HasRunningOrphans() {
 		return false
 	}
 	s.renewedAt = now
--- a/internal/runs/supervisor.go
+++ b/internal/runs/supervisor.go
@@ -39,8 +39,9 @@
 	// used is the total size of runs.
 	used    jobs.Size
 	actions []Action
-	// restored is set while the worker comes from a record that no poll has confirmed yet.
-	restored bool
+	// unconfirmed is set from the first announcement or record of a worker until a poll has
+	// confirmed its epoch and listed its runs.
+	unconfirmed bool
 	// orphaned holds the unclaimed runs that an earlier agent process started. Running ones stay
 	// until a poll no longer lists them.
 	orphaned map[RunID]orphanedRun
@@ -185,11 +186,9 @@
 		s.retireEpoch(now)
 	}
 	s.Worker = &w
-	if s.restored {
-		// If the epoch is unchanged, the worker stays unconfirmed until the next answered
-		// poll, which lists the runs that an earlier agent process started.
-		s.restored = old.Epoch == w.Epoch
-	}
+	// The first worker of this process, announced or restored, stays unconfirmed until a poll
+	// has listed the runs that an earlier agent process started.
+	s.unconfirmed = old == nil || s.unconfirmed
 	if old != nil && old.Epoch != w.Epoch {
 		s.startNewEpoch()
 	}
@@ -265,7 +264,7 @@
 // worker is missing, unconfirmed, draining, deregistered, unreachable or executing orphaned
 // runs.
 func (s *Supervisor) RefusesRuns() bool {
-	return s.StoppedAccepting || s.Worker == nil || s.restored || s.Worker.Draining || s.Unreachable || s.HasRunningOrphans()
+	return s.StoppedAccepting || s.Worker == nil || s.unconfirmed || s.Worker.Draining || s.Unreachable || s.HasRunningOrphans()
 }
 
 // stopOlderRuns stops runs of the same task for other entries: the caller has
@@ -432,10 +431,10 @@
 }
 
 // NeedsFrequentTicks reports whether Tick has to be called at short intervals: while runs are
-// queued, orphaned or being stopped, an entry is disconnected, the claim window is open, or a
-// restored worker is unconfirmed.
+// queued, orphaned or being stopped, an entry is disconnected, the claim window is open, or the
+// worker is unconfirmed.
 func (s *Supervisor) NeedsFrequentTicks() bool {
-	if len(s.disconnected) > 0 || s.claimUntil > 0 || s.restored || s.HasRunningOrphans() {
+	if len(s.disconnected) > 0 || s.claimUntil > 0 || s.unconfirmed || s.HasRunningOrphans() {
 		return true
 	}
 	for _, run := range s.runs {
--- a/internal/runs/supervisor_test.go
+++ b/internal/runs/supervisor_test.go
@@ -28,8 +28,17 @@
 
 // newSupervisor returns a supervisor whose worker has capacity for two of newRun's tasks.
 func newSupervisor() *Supervisor {
+	return newSupervisorOf(jobs.Size{MilliCPU: 4000, MemoryMB: 1000})
+}
+
+// newSupervisorOf returns a supervisor whose worker has the given capacity, was confirmed by a
+// poll before the time 0, and had no runs.
+func newSupervisorOf(capacity jobs.Size) *Supervisor {
+	const start = -clock.Second
 	s := New()
-	s.Announce(Worker{ID: "w", Epoch: 1, Fleet: "f", Capacity: jobs.Size{MilliCPU: 4000, MemoryMB: 1000}}, 0)
+	s.Announce(Worker{ID: "w", Epoch: 1, Fleet: "f", Capacity: capacity}, start)
+	s.HandlePoll(PollResult{SentAt: start, SentEpoch: 1, Epoch: 1}, start)
+	s.Tick(start + claimWindowMS)
 	return s
 }
 
@@ -393,8 +402,7 @@
 
 // All tasks of one job may take far longer than its caller estimated.
 func TestOneOverdueJobDoesNotMarkWorkerStalled(t *testing.T) {
-	s := New()
-	s.Announce(Worker{ID: "w", Epoch: 1, Fleet: "f", Capacity: jobs.Size{MilliCPU: 100_000, MemoryMB: 10_000}}, 0)
+	s := newSupervisorOf(jobs.Size{MilliCPU: 100_000, MemoryMB: 10_000})
 	for i := range 6 {
 		s.Launch([]Run{newRun(entryA, "long", i, 0)}, 0)
 		answerStart(s, ref("long", i), entryA, StartOK, 1)
@@ -407,8 +415,7 @@
 // supervisorWithRuns returns a supervisor with n runs, each expected to take 100 ms, that
 // the worker confirmed at 1 ms.
 func supervisorWithRuns(n int) *Supervisor {
-	s := New()
-	s.Announce(Worker{ID: "w", Epoch: 1, Fleet: "f", Capacity: jobs.Size{MilliCPU: 100_000, MemoryMB: 10_000}}, 0)
+	s := newSupervisorOf(jobs.Size{MilliCPU: 100_000, MemoryMB: 10_000})
 	for i := range n {
 		s.Launch([]Run{newRun(entryA, jobName(i), i, 0)}, 0)
 		answerStart(s, ref(jobName(i), i), entryA, StartOK, 1)
