runs: Fencing tokens rise with each epoch, also if the host's clock steps back

Cause: the fencing token was the epoch, a time of day. After a step back of the clock a worker that starts anew has a lower epoch, and the poll that shows it carried the earlier, higher one. The worker then refuses every call, and the runs of the earlier epoch can't be resolved, since that takes a poll with the new token. Change: the supervisor draws the token: the epoch, or one more than the last token if that is higher. A poll that is refused for its token (an earlier process of the agent may have used a higher one) raises it in doubling steps, with a log line.

--- a/internal/runner/calls.go
+++ b/internal/runner/calls.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 
+	"github.com/juju/errors"
+
 	"github.com/turmericbarrow/turmericbarrow/internal/clock"
 	"github.com/turmericbarrow/turmericbarrow/internal/guard"
 	"github.com/turmericbarrow/turmericbarrow/internal/jobs"
@@ -22,7 +24,9 @@
 // pollResult is the result of a poll.
 type pollResult struct {
 	result runs.PollResult
-	err    error
+	// token is the fencing token that the poll carried.
+	token int64
+	err   error
 }
 
 // stopResult is the result of a stop call.
@@ -195,7 +199,7 @@
 			return err
 		})
 		p.SentAt, p.SentEpoch = now, w.Epoch
-		a.pollResults <- pollResult{result: p, err: err}
+		a.pollResults <- pollResult{result: p, token: w.Token, err: err}
 	}()
 }
 
@@ -209,6 +213,10 @@
 		// The first failed poll is repeated at once, later ones after a growing delay.
 		a.nextPollAt = now + callTimeout(a.supervisor.FailedPolls()) - minCallTimeoutMS
 		a.supervisor.HandlePollFailure(a.settings.LeaseMS, now)
+		if errors.Is(r.err, ErrFenced) {
+			a.supervisor.HandleFencedPoll(r.token)
+			a.log.Warn("the worker has seen a higher fencing token; raised", "worker", a.supervisor.Worker.ID, "token", a.supervisor.Worker.Token)
+		}
 		if a.supervisor.Unreachable && !wasUnreachable {
 			a.log.Warn("worker lost", "worker", a.supervisor.Worker.ID, "error", r.err.Error())
 		}
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -32,10 +32,14 @@
 	Stop(ctx context.Context, w runs.Worker, ref jobs.TaskRef, number int64) error
 	// Poll renews all leases until leaseUntil on the worker's clock, unless that is zero, and
 	// acknowledges the ended runs that earlier polls returned, which the worker then drops.
-	// It returns the running and the ended runs, after waiting up to wait for a run to end.
+	// It returns the running and the ended runs, after waiting up to wait for a run to end, and
+	// an error that wraps ErrFenced if the worker has seen a higher fencing token.
 	Poll(ctx context.Context, w runs.Worker, leaseUntil, wait clock.Millis) (runs.PollResult, error)
 }
 
+// ErrFenced is the error of a call that a worker refused for its fencing token.
+var ErrFenced = errors.New("the worker has seen a higher fencing token")
+
 // Clock returns the current time.
 type Clock interface {
 	Now() clock.Millis
--- a/internal/runs/orphans.go
+++ b/internal/runs/orphans.go
@@ -37,6 +37,7 @@
 	if s.Worker != nil {
 		return
 	}
+	w.Token = s.nextToken(w.Epoch)
 	s.Worker = &w
 	s.unconfirmed = true
 }
--- a/internal/runs/polls.go
+++ b/internal/runs/polls.go
@@ -100,8 +100,8 @@
 	ClockMS clock.Millis
 	// SentAt is when the poll was sent, on the agent's clock.
 	SentAt clock.Millis
-	// SentEpoch is the epoch that the poll carried as its fencing token. Once it is answered,
-	// the worker executes no call that carries a lower one.
+	// SentEpoch is the epoch whose fencing token the poll carried. Once it is answered, the
+	// worker executes no call of an earlier epoch.
 	SentEpoch int64
 	// Epoch is the worker's epoch at the answer; zero if not reported.
 	Epoch   int64
@@ -159,12 +159,36 @@
 		return false
 	}
 	s.retireEpoch(now)
-	s.Worker.Epoch = p.Epoch
+	s.Worker.Epoch, s.Worker.Token = p.Epoch, s.nextToken(p.Epoch)
 	s.announced = -1
 	s.startNewEpoch()
 	return true
 }
 
+// nextToken returns the fencing token of a new epoch.
+func (s *Supervisor) nextToken(epoch int64) int64 {
+	s.token = max(epoch, s.token+1)
+	return s.token
+}
+
+// HandleFencedPoll raises the token by minTokenStep or more, up to maxToken, below which every
+// integer has an exact floating-point number.
+const (
+	minTokenStep = 1000
+	maxToken     = 1 << 52
+)
+
+// HandleFencedPoll raises the fencing token after the worker has refused a poll for it: an
+// earlier process of this agent has used a higher one. The steps double, so that few polls
+// reach any token that was a time of day.
+func (s *Supervisor) HandleFencedPoll(token int64) {
+	if s.Worker == nil || s.Worker.Token != token {
+		return // it was refused because a newer token is in use
+	}
+	s.token = min(s.token+max(minTokenStep, s.token-s.Worker.Epoch), maxToken)
+	s.Worker.Token = s.token
+}
+
 // maxRetiredEpochs is the number of past epochs whose late announcements are recognized.
 const maxRetiredEpochs = 16
 
--- a/internal/runs/run.go
+++ b/internal/runs/run.go
@@ -10,8 +10,12 @@
 // Worker is a worker as it described itself in its announcement.
 type Worker struct {
 	ID string
-	// Epoch increases with each start of the worker; runs of an earlier epoch are gone.
-	Epoch    int64
+	// Epoch differs with each start of the worker; runs of an earlier epoch are gone. It is a
+	// time of day, which is lower than before if the host's clock has stepped back.
+	Epoch int64
+	// Token is the fencing token of all calls in this epoch. It is above those of the earlier
+	// epochs that this process has known.
+	Token    int64
 	Fleet    string
 	Labels   []string
 	Capacity jobs.Size
--- a/internal/runs/supervisor.go
+++ b/internal/runs/supervisor.go
@@ -72,6 +72,8 @@
 	// fastLogSpeed is the fast-moving average of the speed's logarithm.
 	fastLogSpeed float64
 	stalled      bool
+	// token is the highest fencing token in use so far.
+	token int64
 	// announced is the sequence number of the last announcement of the present epoch, or -1.
 	announced int64
 	// epochSince is when the worker's present epoch became known.
@@ -185,6 +187,11 @@
 	if old != nil && old.Epoch != w.Epoch {
 		s.retireEpoch(now)
 	}
+	if old != nil && old.Epoch == w.Epoch {
+		w.Token = old.Token
+	} else {
+		w.Token = s.nextToken(w.Epoch)
+	}
 	s.Worker = &w
 	// The first worker of this process, announced or restored, stays unconfirmed until a poll
 	// has listed the runs that an earlier agent process started.
--- a/internal/runs/supervisor_test.go
+++ b/internal/runs/supervisor_test.go
@@ -341,6 +341,41 @@
 	require.Len(t, takeStarts(s), 1)
 }
 
+// Guards against a worker that is lost for good: its host's clock stepped back, it started anew
+// with a lower epoch, and it refused every call that carried this epoch as its fencing token,
+// because it had seen the earlier one.
+func TestFencingTokenRisesWithEachEpoch(t *testing.T) {
+	s := newSupervisor()
+	w := *s.Worker
+	w.Epoch = 50
+	s.Announce(w, 100)
+	require.Equal(t, int64(50), s.Worker.Token)
+	s.HandlePoll(PollResult{ClockMS: 5, SentAt: 200, SentEpoch: 50, Epoch: 20}, 205)
+	require.Equal(t, int64(20), s.Worker.Epoch)
+	require.Equal(t, int64(51), s.Worker.Token)
+	w.Epoch = 20
+	s.Announce(w, 210)
+	require.Equal(t, int64(51), s.Worker.Token, "the same epoch")
+}
+
+// An earlier process of the agent may have used a higher token.
+func TestRefusedFencingTokenIsRaised(t *testing.T) {
+	const (
+		day = 24 * 3600 * int64(clock.Second)
+		now = 20_000 * day
+	)
+	s := New()
+	s.Announce(Worker{ID: "w", Epoch: now}, 0)
+	polls := 0
+	for s.Worker.Token < now+day {
+		s.HandleFencedPoll(s.Worker.Token)
+		s.HandleFencedPoll(now - 1)
+		polls++
+	}
+	require.Less(t, polls, 30)
+	require.Less(t, s.Worker.Token, now+3*day)
+}
+
 func TestLateAnnouncementIsIgnored(t *testing.T) {
 	s := newSupervisor()
 	w := *s.Worker
