runner: Poll at intervals while answers of another epoch resolve nothing

Cause: an agent polls without waiting while it has runs of an earlier epoch. If answers never come from the epoch that it knows of, as after a heartbeat of another writer, that would be one poll after the other for as long as it lasts.

--- a/internal/runner/calls.go
+++ b/internal/runner/calls.go
@@ -235,6 +235,9 @@
 		a.log.Info("a poll shows a new life of the worker", "worker", a.supervisor.Worker.ID, "life", a.supervisor.Epoch(),
 			"earlier", epoch, "held", a.supervisor.Held())
 	}
+	if a.supervisor.HasRunsOfEarlierEpoch() && r.result.SentEpoch == a.supervisor.Epoch() {
+		a.nextPollAt = now + cautiousPollWaitMS // an answer of another epoch resolved nothing
+	}
 	if !confirmed && a.supervisor.Confirmed() {
 		a.onWorkerConfirmed()
 	}
--- a/internal/runner/lease_test.go
+++ b/internal/runner/lease_test.go
@@ -175,6 +175,43 @@
 	}
 }
 
+// unchangedWorker answers every poll after a millisecond, always in epoch 1, and counts them.
+type unchangedWorker struct {
+	answeringWorker
+	polls chan struct{}
+}
+
+func (w unchangedWorker) Poll(context.Context, runs.Worker, clock.Millis, clock.Millis) (runs.PollResult, error) {
+	w.polls <- struct{}{}
+	time.Sleep(time.Millisecond)
+	return runs.PollResult{ClockMS: 1, Epoch: 1}, nil
+}
+
+// An announcement may name an epoch that the worker's answers never confirm. The agent must not
+// poll without a pause for as long as that lasts.
+func TestPollsThatResolveNothingAreSpaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := unchangedWorker{polls: make(chan struct{}, 10_000)}
+		a := New(Settings{Self: host.Host{Name: "a"}, LeaseMS: 1000, ResendMS: 1300}, clock.New(), w,
+			fakeStore{}, fakeStore{}, slog.New(slog.NewTextHandler(io.Discard, nil)))
+		known := runs.Worker{ID: "w", Epoch: 1, Fleet: "f", Capacity: jobs.Size{MilliCPU: 1}}
+		a.supervisor.Announce(known, a.clock.Now())
+		a.supervisor.HandlePoll(runs.PollResult{SentEpoch: 1, Epoch: 1}, a.clock.Now())
+		a.supervisor.Launch([]runs.Run{{Ref: jobs.TaskRef{Job: "j"}, Number: 1, Entry: "e"}}, a.clock.Now())
+		other := known
+		other.Epoch = 2
+		a.supervisor.Announce(other, a.clock.Now())
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error, 1)
+		go func() { done <- a.Run(ctx) }()
+		time.Sleep(time.Second)
+		cancel()
+		<-done
+		require.LessOrEqual(t, len(w.polls), 60)
+		require.Greater(t, len(w.polls), 10)
+	})
+}
+
 // recordingStore holds one worker's record and counts its deletions.
 type recordingStore struct {
 	fakeStore
--- a/internal/runs/supervisor.go
+++ b/internal/runs/supervisor.go
@@ -438,14 +438,14 @@
 }
 
 // NeedsFrequentTicks reports whether Tick has to be called at short intervals: while runs are
-// queued, orphaned or being stopped, an entry is disconnected, the claim window is open, or the
-// worker is unconfirmed.
+// queued, orphaned, of an earlier epoch or being stopped, an entry is disconnected, the claim
+// window is open, or the worker is unconfirmed.
 func (s *Supervisor) NeedsFrequentTicks() bool {
 	if len(s.disconnected) > 0 || s.claimUntil > 0 || s.unconfirmed || s.HasRunningOrphans() {
 		return true
 	}
 	for _, run := range s.runs {
-		if run.Status == Queued || run.Stopping {
+		if run.Status == Queued || run.Stopping || s.isOfEarlierEpoch(run) {
 			return true
 		}
 	}
