--- /dev/null
+++ b/internal/runs/epochs.go
@@ -0,0 +1,153 @@
+package runs
+
+import (
+	"slices"
+
+	"github.com/turmericbarrow/turmericbarrow/internal/clock"
+)
+
+// AcceptAnnouncement reports whether an announcement is newer than the one before, and if so
+// records its sequence number. Announcements may arrive late: those of a retired epoch and
+// those with a lower sequence number are to be ignored. The sequence numbers of two workers
+// with the same epoch can't be compared, so that another worker counts as newer. A lower
+// epoch counts as newer only once a poll has confirmed it.
+func (s *Supervisor) AcceptAnnouncement(w Worker, sequence int64) bool {
+	old := s.Worker
+	newer := old == nil || w.Epoch > old.Epoch && !slices.Contains(s.retiredEpochs, w.Epoch)
+	if old != nil && w.Epoch == old.Epoch {
+		newer = w.ID != old.ID || sequence > s.announced
+	}
+	if newer {
+		s.announced = sequence
+	}
+	return newer
+}
+
+// Announce updates the worker from its announcement.
+func (s *Supervisor) Announce(w Worker, now clock.Millis) {
+	old := s.Worker
+	s.Worker = &w
+	switch {
+	case old == nil:
+		// The worker stays unconfirmed until a poll has listed the runs that an earlier agent
+		// process started.
+		s.unconfirmed = true
+		s.epochSince = now
+		w.Token = s.nextToken(w.Epoch)
+		s.NotifyNow = true
+	case old.Epoch != w.Epoch:
+		s.startNewEpoch(old.Epoch, now)
+	default:
+		w.Token = old.Token
+		s.NotifyNow = s.NotifyNow || old.Draining != w.Draining || old.Capacity != w.Capacity || old.Fleet != w.Fleet
+	}
+	if w.Draining {
+		s.returnQueued(now)
+	}
+	s.startQueued(now)
+}
+
+// Epoch returns the worker's present epoch, or zero without a worker.
+func (s *Supervisor) Epoch() int64 {
+	if s.Worker == nil {
+		return 0
+	}
+	return s.Worker.Epoch
+}
+
+// acceptEpoch reports whether a poll belongs to the worker's present epoch or to another one
+// that has replaced it. The answer to a poll shows which epoch is at the worker's address, even
+// if its number is lower: epochs are times of day, and the clock of a host may step back between
+// two starts of its worker. An answer to a poll that was sent before the present epoch was known
+// may be out of date, and an epoch that was replaced once does not return.
+func (s *Supervisor) acceptEpoch(p PollResult, now clock.Millis) bool {
+	if s.Worker == nil || p.Epoch == 0 || p.Epoch == s.Worker.Epoch {
+		return true
+	}
+	if p.Epoch < s.Worker.Epoch && p.SentAt <= s.epochSince || slices.Contains(s.retiredEpochs, p.Epoch) {
+		return false
+	}
+	earlier := s.Worker.Epoch
+	s.Worker.Epoch = p.Epoch
+	s.announced = -1
+	s.startNewEpoch(earlier, now)
+	return true
+}
+
+// maxRetiredEpochs is the number of past epochs whose late announcements are recognized.
+const maxRetiredEpochs = 16
+
+// retireEpoch records that the worker's present epoch has replaced an earlier one.
+func (s *Supervisor) retireEpoch(earlier int64, now clock.Millis) {
+	s.epochSince = now
+	s.retiredEpochs = append(s.retiredEpochs, earlier)
+	if len(s.retiredEpochs) > maxRetiredEpochs {
+		s.retiredEpochs = s.retiredEpochs[1:]
+	}
+}
+
+// startNewEpoch retires the worker's earlier epoch, draws a fencing token for the present one,
+// forgets the orphaned runs, and resets the worker's speed and health. The held runs stay until
+// a poll resolves them: the new epoch may have accepted a start or a stop that was sent before it
+// was known here.
+func (s *Supervisor) startNewEpoch(earlier int64, now clock.Millis) {
+	s.retireEpoch(earlier, now)
+	s.Worker.Token = s.nextToken(s.Worker.Epoch)
+	for _, run := range s.runs {
+		run.StopAckedAt = 0
+		run.MissingSince = 0
+	}
+	s.orphaned, s.claimUntil = map[RunID]orphanedRun{}, 0
+	s.Speed, s.fastLogSpeed = 1, 0
+	s.resetHealth()
+}
+
+// HasRunsOfEarlierEpoch reports whether the worker may or may not have some runs because it
+// started anew. The next poll that carries the present epoch resolves them.
+func (s *Supervisor) HasRunsOfEarlierEpoch() bool {
+	for _, run := range s.runs {
+		if s.isOfEarlierEpoch(run) {
+			return true
+		}
+	}
+	return false
+}
+
+// isOfEarlierEpoch reports whether a run may be at the worker by a start that names an earlier
+// epoch, and no poll has listed it in the present one.
+func (s *Supervisor) isOfEarlierEpoch(run *Run) bool {
+	return run.Status != Queued && run.Epoch != s.Worker.Epoch
+}
+
+// resolveEarlierEpoch ends an unlisted run of an earlier epoch if the poll carried the present
+// one: the worker does not have the run and will not execute a late start of it. Until then the
+// worker may still accept the start, although it has started anew.
+func (s *Supervisor) resolveEarlierEpoch(p PollResult, run *Run, now clock.Millis) {
+	if p.SentEpoch == s.Worker.Epoch {
+		s.lose(run, LossNewEpoch, false, now)
+	}
+}
+
+// nextToken returns the fencing token of a new epoch.
+func (s *Supervisor) nextToken(epoch int64) int64 {
+	s.token = max(epoch, s.token+1)
+	return s.token
+}
+
+// HandleFencedPoll raises the token by minTokenStep or more, up to maxToken, below which every
+// integer has an exact floating-point number.
+const (
+	minTokenStep = 1000
+	maxToken     = 1 << 52
+)
+
+// HandleFencedPoll raises the fencing token after the worker has refused a poll for it: an
+// earlier process of this agent has used a higher one. The steps double, so that few polls
+// reach any token that was a time of day.
+func (s *Supervisor) HandleFencedPoll(token int64) {
+	if s.Worker == nil || s.Worker.Token != token {
+		return // it was refused because a newer token is in use
+	}
+	s.token = min(s.token+max(minTokenStep, s.token-s.Worker.Epoch), maxToken)
+	s.Worker.Token = s.token
+}
--- /dev/null
+++ b/internal/runs/starts.go
@@ -0,0 +1,179 @@
+package runs
+
+import (
+	"sort"
+
+	"github.com/turmericbarrow/turmericbarrow/internal/clock"
+	"github.com/turmericbarrow/turmericbarrow/internal/jobs"
+)
+
+// Launch handles the runs that an entry requests: it claims the orphaned ones, queues the
+// others, and starts those that fit. While the worker accepts no runs, the others end as
+// not run.
+func (s *Supervisor) Launch(runs []Run, now clock.Millis) {
+	for i := range runs {
+		run := runs[i]
+		if s.claim(run, now) {
+			continue
+		}
+		run.Status = Queued
+		run.QueuedAt = now
+		k := runKey{run.Ref, run.Entry}
+		if s.runs[k] != nil {
+			continue // duplicate
+		}
+		s.runs[k] = &run
+		s.used = s.used.Plus(run.Size)
+		if s.RefusesRuns() {
+			s.end(&run, jobs.OutcomeNotRun, 0, false, now)
+			continue
+		}
+		s.stopOlderRuns(run, now)
+	}
+	s.Changed = true
+	s.startQueued(now)
+}
+
+// RefusesRuns reports whether new runs are refused at present: the agent drains, or the
+// worker is missing, unconfirmed, draining, deregistered, unreachable or executing orphaned
+// runs.
+func (s *Supervisor) RefusesRuns() bool {
+	return s.StoppedAccepting || s.Worker == nil || s.unconfirmed || s.Worker.Draining || s.Unreachable || s.HasRunningOrphans()
+}
+
+// returnQueued ends all queued runs as not run.
+func (s *Supervisor) returnQueued(now clock.Millis) {
+	for _, run := range s.sortedRuns() {
+		if run.Status == Queued {
+			s.end(run, jobs.OutcomeNotRun, 0, false, now)
+		}
+	}
+}
+
+// stopOlderRuns stops runs of the same task for other entries: the caller has
+// resubmitted its job, and nobody waits for the earlier run.
+func (s *Supervisor) stopOlderRuns(run Run, now clock.Millis) {
+	for k, o := range s.runs {
+		if k.ref == run.Ref && k.entry != run.Entry {
+			s.stop(o, now)
+		}
+	}
+}
+
+// startQueued starts queued runs by latest start time, up to the first that does not fit.
+func (s *Supervisor) startQueued(now clock.Millis) {
+	if s.RefusesRuns() {
+		return
+	}
+	free := s.Worker.Capacity
+	var queued []*Run
+	for _, run := range s.runs {
+		if run.Status == Queued {
+			queued = append(queued, run)
+		} else {
+			free = free.Minus(run.Size)
+		}
+	}
+	sort.Slice(queued, func(i, j int) bool { return startsBefore(queued[i], queued[j]) })
+	for _, run := range queued {
+		if !run.Size.FitsIn(free) {
+			return
+		}
+		if s.earlierRunAtWorker(run) {
+			continue
+		}
+		free = free.Minus(run.Size)
+		run.Status = Starting
+		s.sendStart(run, now)
+	}
+}
+
+// earlierRunAtWorker reports whether the worker may still have another run of the task.
+func (s *Supervisor) earlierRunAtWorker(run *Run) bool {
+	for k, o := range s.runs {
+		if k.ref == run.Ref && o != run && o.Status != Queued {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *Supervisor) sendStart(run *Run, now clock.Millis) {
+	run.StartedAt = now
+	run.Epoch = s.Worker.Epoch
+	s.actions = append(s.actions, Start{Run: *run})
+}
+
+// SetLease records the end of the lease that the next start of a run carries, on the worker's
+// clock. The agent calls it before it sends the start.
+func (s *Supervisor) SetLease(ref jobs.TaskRef, entry string, leaseUntil clock.Millis) {
+	if run := s.runs[runKey{ref, entry}]; run != nil {
+		run.LeaseUntil = leaseUntil
+	}
+}
+
+// StartOutcome is the result of sending a start to the worker.
+type StartOutcome int
+
+// The outcomes of a start.
+const (
+	// StartOK: the worker has the run.
+	StartOK StartOutcome = iota
+	// StartRefused: the worker does not have the run and never will.
+	StartRefused
+	// StartNoCapacity: as StartRefused, because the worker is full.
+	StartNoCapacity
+	// StartUnhealthy: as StartRefused, because the worker accepts no runs.
+	StartUnhealthy
+	// StartUnanswered: the run may have started, or may start until its lease expires.
+	StartUnanswered
+)
+
+// refusalOutcomes maps the outcomes of a start that the worker did not execute to those of the
+// run.
+var refusalOutcomes = map[StartOutcome]jobs.Outcome{
+	StartRefused: jobs.OutcomeRefused, StartNoCapacity: jobs.OutcomeNotRun, StartUnhealthy: jobs.OutcomeNotRun,
+}
+
+// HandleStartOutcome updates a run after the call that starts it has returned.
+func (s *Supervisor) HandleStartOutcome(ref jobs.TaskRef, entry string, number int64, outcome StartOutcome, now clock.Millis) {
+	run := s.runs[runKey{ref, entry}]
+	if run == nil || run.Number != number || run.Status != Starting {
+		return
+	}
+	switch outcome {
+	case StartOK:
+		run.Status = Running
+	case StartUnanswered:
+		run.UnansweredStarts++
+		s.unansweredAt = now
+		if run.UnansweredStarts < maxUnansweredStarts && !run.Stopping && !s.HasRunningOrphans() {
+			// Starts are idempotent: the worker confirms a run that it already has and refuses
+			// one that has ended.
+			s.sendStart(run, now)
+			return
+		}
+		s.markUnknown(run)
+	default:
+		if outcome == StartUnhealthy {
+			s.recordFailure(ref.Job, now)
+		}
+		if run.UnansweredStarts == 0 {
+			s.end(run, refusalOutcomes[outcome], 0, outcome == StartUnhealthy, now)
+			break
+		}
+		// The worker may have executed an earlier, unanswered start or may still do so.
+		s.markUnknown(run)
+	}
+	if run.Stopping && run.Status > Starting {
+		s.sendStop(run, now)
+	}
+	s.startQueued(now)
+}
+
+// markUnknown marks a run that the worker may or may not have as Unknown and to be stopped:
+// the expiry of the lease would resolve its state as well, but a stop does so sooner.
+func (s *Supervisor) markUnknown(run *Run) {
+	run.Status = Unknown
+	run.Stopping = true
+}
--- a/internal/runs/supervisor.go
+++ b/internal/runs/supervisor.go
@@ -6,7 +6,6 @@
 package runs
 
 import (
-	"slices"
 	"sort"
 
 	"github.com/turmericbarrow/turmericbarrow/internal/clock"
@@ -161,66 +160,6 @@
 	return a
 }
 
-// AcceptAnnouncement reports whether an announcement is newer than the one before, and if so
-// records its sequence number. Announcements may arrive late: those of a retired epoch and
-// those with a lower sequence number are to be ignored. The sequence numbers of two workers
-// with the same epoch can't be compared, so that another worker counts as newer. A lower
-// epoch counts as newer only once a poll has confirmed it.
-func (s *Supervisor) AcceptAnnouncement(w Worker, sequence int64) bool {
-	old := s.Worker
-	newer := old == nil || w.Epoch > old.Epoch && !slices.Contains(s.retiredEpochs, w.Epoch)
-	if old != nil && w.Epoch == old.Epoch {
-		newer = w.ID != old.ID || sequence > s.announced
-	}
-	if newer {
-		s.announced = sequence
-	}
-	return newer
-}
-
-// Announce updates the worker from its announcement.
-func (s *Supervisor) Announce(w Worker, now clock.Millis) {
-	old := s.Worker
-	if old == nil || old.Epoch != w.Epoch {
-		s.epochSince = now
-	}
-	if old != nil && old.Epoch != w.Epoch {
-		s.retireEpoch(now)
-	}
-	if old != nil && old.Epoch == w.Epoch {
-		w.Token = old.Token
-	} else {
-		w.Token = s.nextToken(w.Epoch)
-	}
-	s.Worker = &w
-	// The first worker of this process, announced or restored, stays unconfirmed until a poll
-	// has listed the runs that an earlier agent process started.
-	s.unconfirmed = old == nil || s.unconfirmed
-	if old != nil && old.Epoch != w.Epoch {
-		s.startNewEpoch()
-	}
-	if old == nil || old.Epoch != w.Epoch || old.Draining != w.Draining || old.Capacity != w.Capacity || old.Fleet != w.Fleet {
-		s.NotifyNow = true
-	}
-	if w.Draining {
-		s.returnQueued(now)
-	}
-	s.startQueued(now)
-}
-
-// startNewEpoch forgets the orphaned runs of the worker's earlier epoch and resets the worker's
-// speed and health. The held runs stay until a poll resolves them: the new epoch may have
-// accepted a start or a stop that was sent before it was known here.
-func (s *Supervisor) startNewEpoch() {
-	for _, run := range s.runs {
-		run.StopAckedAt = 0
-		run.MissingSince = 0
-	}
-	s.orphaned, s.claimUntil = map[RunID]orphanedRun{}, 0
-	s.Speed, s.fastLogSpeed = 1, 0
-	s.resetHealth()
-}
-
 // StopAccepting makes the supervisor refuse new runs and returns the queued ones to their
 // entries as not run; runs at the worker continue. The agent calls it when it drains and
 // when its worker deregisters, and clears StoppedAccepting when a new epoch of the worker
@@ -231,59 +170,6 @@
 	s.returnQueued(now)
 }
 
-// returnQueued ends all queued runs as not run.
-func (s *Supervisor) returnQueued(now clock.Millis) {
-	for _, run := range s.sortedRuns() {
-		if run.Status == Queued {
-			s.end(run, jobs.OutcomeNotRun, 0, false, now)
-		}
-	}
-}
-
-// Launch handles the runs that an entry requests: it claims the orphaned ones, queues the
-// others, and starts those that fit. While the worker accepts no runs, the others end as
-// not run.
-func (s *Supervisor) Launch(runs []Run, now clock.Millis) {
-	for i := range runs {
-		run := runs[i]
-		if s.claim(run, now) {
-			continue
-		}
-		run.Status = Queued
-		run.QueuedAt = now
-		k := runKey{run.Ref, run.Entry}
-		if s.runs[k] != nil {
-			continue // duplicate
-		}
-		s.runs[k] = &run
-		s.used = s.used.Plus(run.Size)
-		if s.RefusesRuns() {
-			s.end(&run, jobs.OutcomeNotRun, 0, false, now)
-			continue
-		}
-		s.stopOlderRuns(run, now)
-	}
-	s.Changed = true
-	s.startQueued(now)
-}
-
-// RefusesRuns reports whether new runs are refused at present: the agent drains, or the
-// worker is missing, unconfirmed, draining, deregistered, unreachable or executing orphaned
-// runs.
-func (s *Supervisor) RefusesRuns() bool {
-	return s.StoppedAccepting || s.Worker == nil || s.unconfirmed || s.Worker.Draining || s.Unreachable || s.HasRunningOrphans()
-}
-
-// stopOlderRuns stops runs of the same task for other entries: the caller has
-// resubmitted its job, and nobody waits for the earlier run.
-func (s *Supervisor) stopOlderRuns(run Run, now clock.Millis) {
-	for k, o := range s.runs {
-		if k.ref == run.Ref && k.entry != run.Entry {
-			s.stop(o, now)
-		}
-	}
-}
-
 // StopTasks stops an entry's runs of the given tasks of a job, or of all its tasks if
 // none is given.
 func (s *Supervisor) StopTasks(entry string, job jobs.ID, tasks []jobs.TaskID, now clock.Millis) {
@@ -385,23 +271,6 @@
 	return n
 }
 
-// HasRunsOfEarlierEpoch reports whether the worker may or may not have some runs because it
-// started anew. The next poll that carries the present epoch resolves them.
-func (s *Supervisor) HasRunsOfEarlierEpoch() bool {
-	for _, run := range s.runs {
-		if s.isOfEarlierEpoch(run) {
-			return true
-		}
-	}
-	return false
-}
-
-// isOfEarlierEpoch reports whether a run may be at the worker by a start that names an earlier
-// epoch, and no poll has listed it in the present one.
-func (s *Supervisor) isOfEarlierEpoch(run *Run) bool {
-	return run.Status != Queued && run.Epoch != s.Worker.Epoch
-}
-
 // Cautious reports whether calls to the worker may go unanswered, because some recently did,
 // or a run has to be resolved soon, because it is orphaned or to be stopped.
 func (s *Supervisor) Cautious(now clock.Millis) bool {
@@ -509,58 +378,6 @@
 	s.end(run, jobs.OutcomeLost, 0, workerFault, now)
 }
 
-// startQueued starts queued runs by latest start time, up to the first that does not fit.
-func (s *Supervisor) startQueued(now clock.Millis) {
-	if s.RefusesRuns() {
-		return
-	}
-	free := s.Worker.Capacity
-	var queued []*Run
-	for _, run := range s.runs {
-		if run.Status == Queued {
-			queued = append(queued, run)
-		} else {
-			free = free.Minus(run.Size)
-		}
-	}
-	sort.Slice(queued, func(i, j int) bool { return startsBefore(queued[i], queued[j]) })
-	for _, run := range queued {
-		if !run.Size.FitsIn(free) {
-			return
-		}
-		if s.earlierRunAtWorker(run) {
-			continue
-		}
-		free = free.Minus(run.Size)
-		run.Status = Starting
-		s.sendStart(run, now)
-	}
-}
-
-func (s *Supervisor) sendStart(run *Run, now clock.Millis) {
-	run.StartedAt = now
-	run.Epoch = s.Worker.Epoch
-	s.actions = append(s.actions, Start{Run: *run})
-}
-
-// earlierRunAtWorker reports whether the worker may still have another run of the task.
-func (s *Supervisor) earlierRunAtWorker(run *Run) bool {
-	for k, o := range s.runs {
-		if k.ref == run.Ref && o != run && o.Status != Queued {
-			return true
-		}
-	}
-	return false
-}
-
-// SetLease records the end of the lease that the next start of a run carries, on the worker's
-// clock. The agent calls it before it sends the start.
-func (s *Supervisor) SetLease(ref jobs.TaskRef, entry string, leaseUntil clock.Millis) {
-	if run := s.runs[runKey{ref, entry}]; run != nil {
-		run.LeaseUntil = leaseUntil
-	}
-}
-
 func startsBefore(a, b *Run) bool {
 	if a.LatestStart != b.LatestStart {
 		return a.LatestStart < b.LatestStart
--- a/internal/runs/supervisor_test.go
+++ b/internal/runs/supervisor_test.go
@@ -42,34 +42,27 @@
 	return s
 }
 
-func takeStarts(s *Supervisor) []jobs.TaskRef {
-	var out []jobs.TaskRef
-	for _, a := range s.TakeActions() {
-		if start, ok := a.(Start); ok {
-			out = append(out, start.Run.Ref)
+// takeActions takes the pending actions and returns those of type A, converted by convert.
+func takeActions[A Action, T any](s *Supervisor, convert func(A) T) []T {
+	var out []T
+	for _, action := range s.TakeActions() {
+		if a, ok := action.(A); ok {
+			out = append(out, convert(a))
 		}
 	}
 	return out
 }
 
+func takeStarts(s *Supervisor) []jobs.TaskRef {
+	return takeActions(s, func(a Start) jobs.TaskRef { return a.Run.Ref })
+}
+
 func takeEnds(s *Supervisor) []RunEnd {
-	var out []RunEnd
-	for _, a := range s.TakeActions() {
-		if report, ok := a.(Report); ok {
-			out = append(out, report.End)
-		}
-	}
-	return out
+	return takeActions(s, func(a Report) RunEnd { return a.End })
 }
 
 func takeStops(s *Supervisor) []jobs.TaskRef {
-	var out []jobs.TaskRef
-	for _, a := range s.TakeActions() {
-		if stop, ok := a.(Stop); ok {
-			out = append(out, stop.Run.Ref)
-		}
-	}
-	return out
+	return takeActions(s, func(a Stop) jobs.TaskRef { return a.Run.Ref })
 }
 
 func answerStart(s *Supervisor, ref jobs.TaskRef, entry string, outcome StartOutcome, at clock.Millis) {
