--- a/internal/runner/calls.go
+++ b/internal/runner/calls.go
@@ -140,7 +140,7 @@
 	w := *a.supervisor.Worker
 	if r.Entry == "" {
 		a.log.Info("stopping a run that no entry holds", "job", string(r.Ref.Job), "task", r.Ref.Task.String(), "run", r.Number,
-			"worker", w.ID, "lease_left_ms", int64(a.renewedUntil-a.clock.Now()))
+			"worker", w.ID, "lease_left_ms", int64(max(a.renewedUntil-a.clock.Now(), 0)))
 	}
 	go func() {
 		ctx, stop := context.WithTimeout(ctx, maxCallTimeoutMS.Duration())
