runs: A first poll that names no epoch confirms the worker

Cause: since an announced worker needs a poll before it is used, and one without an epoch counted as that of another epoch: the worker was dropped until its next announcement, again and again. Change: only a poll that names another epoch drops the worker.

--- a/internal/runs/orphans.go
+++ b/internal/runs/orphans.go
@@ -47,8 +47,8 @@
 	return s.Worker != nil && !s.unconfirmed
 }
 
-// confirm compares the epoch of a worker's first poll with its record or announcement, and
-// opens the claim window if they agree. Otherwise it drops the worker, whose next announcement
+// confirm compares the epoch of a worker's first poll, if it names one, with the worker's record
+// or announcement, and opens the claim window if they agree. Otherwise it drops the worker, whose next announcement
 // describes the new epoch. It reports whether the poll can be used.
 func (s *Supervisor) confirm(p PollResult, now clock.Millis) bool {
 	if !s.unconfirmed {
@@ -56,7 +56,7 @@
 	}
 	s.unconfirmed = false
 	s.NotifyNow = true
-	if p.Epoch != s.Worker.Epoch {
+	if p.Epoch != 0 && p.Epoch != s.Worker.Epoch {
 		s.Worker = nil
 		return false
 	}
--- a/internal/runs/orphans_test.go
+++ b/internal/runs/orphans_test.go
@@ -54,6 +54,14 @@
 	require.Equal(t, int64(2), s.Worker.Epoch)
 }
 
+// An answer without an epoch says nothing against the announced one.
+func TestFirstPollWithoutEpochConfirmsTheWorker(t *testing.T) {
+	s := New()
+	s.Announce(testWorker, 0)
+	s.HandlePoll(PollResult{ClockMS: 5, SentAt: 1, SentEpoch: 1}, 5)
+	require.True(t, s.Confirmed())
+}
+
 // Guards against a renewed lease of a run that no entry holds, as in review/2, by an agent that
 // starts while the store is away and learns of its worker by an announcement.
 func TestAnnouncedWorkerIsNotUsedBeforeItsRunsAreListed(t *testing.T) {
