--- a/internal/fakes/relay.go
+++ b/internal/fakes/relay.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"time"
 
 	"github.com/juju/errors"
 )
@@ -16,6 +17,7 @@
 	packets   chan relayPacket
 	dropFlows chan chan<- int
 	block     chan bool
+	delay     chan time.Duration
 }
 
 // relayPacket is a packet from a client or, if fromTarget is set, from the target.
@@ -53,6 +55,7 @@
 		packets:   make(chan relayPacket, relayBuffer),
 		dropFlows: make(chan chan<- int),
 		block:     make(chan bool),
+		delay:     make(chan time.Duration),
 	}
 	return r, s.LocalAddr().String(), nil
 }
@@ -77,20 +80,30 @@
 	}
 }
 
+// SetDelay holds the further packets from the target back for d, like a client that is slow to
+// read. Those that are held back are delivered even if the relay is blocked meanwhile.
+func (r *Relay) SetDelay(ctx context.Context, d time.Duration) {
+	select {
+	case r.delay <- d:
+	case <-ctx.Done():
+	}
+}
+
 // Run forwards packets until ctx ends, and then sends the error of ctx to done.
 func (r *Relay) Run(ctx context.Context, done chan<- error) {
 	readerDone := make(chan struct{}, relayBuffer)
 	readers := 1
 	go r.readClients(ctx, readerDone)
 	flows := map[string]*relayFlow{}
-	blocked := false
+	blocked, delay := false, time.Duration(0)
 	for {
 		select {
 		case p := <-r.packets:
 			if !blocked {
-				readers += r.forward(ctx, p, flows, readerDone)
+				readers += r.forward(ctx, p, delay, flows, readerDone)
 			}
 		case blocked = <-r.block:
+		case delay = <-r.delay:
 		case n := <-r.dropFlows:
 			for _, f := range flows {
 				f.dropped = true
@@ -110,13 +123,13 @@
 	}
 }
 
-// forward sends a packet to the other side. It starts a reader if the flow is new, and
-// returns the number of readers started.
-func (r *Relay) forward(ctx context.Context, p relayPacket, flows map[string]*relayFlow, readerDone chan<- struct{}) int {
+// forward sends a packet to the other side, after delay if it is from the target. It starts a
+// reader if the flow is new, and returns the number of readers started.
+func (r *Relay) forward(ctx context.Context, p relayPacket, delay time.Duration, flows map[string]*relayFlow, readerDone chan<- struct{}) int {
 	f := flows[p.flow]
 	if p.fromTarget {
 		if f != nil && !f.dropped {
-			r.socket.WriteToUDP(p.data, f.client)
+			r.deliver(p.data, f.client, delay)
 		}
 		return 0
 	}
@@ -137,6 +150,15 @@
 	return started
 }
 
+// deliver sends a packet to a client after delay. A write after the end of Run has no effect.
+func (r *Relay) deliver(data []byte, client *net.UDPAddr, delay time.Duration) {
+	if delay == 0 {
+		r.socket.WriteToUDP(data, client)
+		return
+	}
+	time.AfterFunc(delay, func() { r.socket.WriteToUDP(data, client) })
+}
+
 func (r *Relay) readClients(ctx context.Context, readerDone chan<- struct{}) {
 	defer func() { readerDone <- struct{}{} }()
 	buf := make([]byte, maxPacketSize)
