dlog: A reserve for the first line about a request

Cause: beyond 300 ordinary lines a second a process dropped whichever lines came later in the second, often every line about a job.

Change: lines of LevelFirst have 300 lines a second of their own beyond the ordinary ones. They are written as ORDINARY. Nothing uses the level yet.

--- a/internal/dlog/dlog.go
+++ b/internal/dlog/dlog.go
@@ -1,8 +1,10 @@
 // Package dlog writes a process's log of decisions as JSON lines. Logging never blocks
 // the process: lines are dropped when the output is slow and its queue is full, or when
 // a limit per second is reached. Ordinary lines may use only a part of that limit, so
-// that they are dropped before lines about refusals, failures and state changes. A
-// separate line reports how many lines were dropped.
+// that they are dropped before lines about refusals, failures and state changes. The first
+// line about a request has a reserve of its own, so that a busy process drops further lines
+// about all requests before it drops every line about one. A separate line reports how many
+// lines were dropped.
 package dlog
 
 import (
@@ -19,11 +21,17 @@
 // first.
 const LevelOrdinary = slog.Level(-2)
 
+// LevelFirst is the level of the first ordinary line about a request or run in a process. It is
+// written with the name of LevelOrdinary.
+const LevelFirst = slog.Level(-1)
+
 // Limits of the log of one process.
 const (
 	// linesPerSecond is the budget. Ordinary lines may use ordinaryShare of it.
 	linesPerSecond = 500
 	ordinaryShare  = 0.6
+	// firstLinesPerSecond is the reserve of lines of LevelFirst, beyond the ordinary lines.
+	firstLinesPerSecond = 300
 	// maxQueuedLines is how many lines may wait for a slow output. A line has at most a
 	// few hundred bytes.
 	maxQueuedLines = 1024
@@ -48,6 +56,8 @@
 	second clock.Millis
 	// admitted counts the lines that were not dropped because of the budget.
 	admitted int
+	// admittedFirst counts the lines that were admitted from the reserve for first lines.
+	admittedFirst int
 	// droppedOrdinary and droppedOther count the lines dropped in that second. A line
 	// dropped because the queue is full counts as other, whatever its level.
 	droppedOrdinary int
@@ -142,20 +152,28 @@
 		}
 		b = budget{second: second}
 	}
+	return b.admit(level), previous
+}
+
+// admit counts a line as admitted or dropped. It reports whether it is admitted.
+func (b *budget) admit(level slog.Level) bool {
 	limit := linesPerSecond
-	if level <= LevelOrdinary {
+	if level <= LevelFirst {
 		limit = int(ordinaryShare * linesPerSecond)
 	}
-	if b.admitted >= limit {
-		if level <= LevelOrdinary {
-			b.droppedOrdinary++
-		} else {
-			b.droppedOther++
-		}
-		return false, previous
+	switch {
+	case b.admitted < limit:
+		b.admitted++
+	case level == LevelFirst && b.admittedFirst < firstLinesPerSecond:
+		b.admittedFirst++
+	case level <= LevelFirst:
+		b.droppedOrdinary++
+		return false
+	default:
+		b.droppedOther++
+		return false
 	}
-	b.admitted++
-	return true, previous
+	return true
 }
 
 // Handler is a slog.Handler that writes to a Log.
@@ -169,9 +187,13 @@
 	return &Handler{log: l, json: slog.NewJSONHandler(l, &slog.HandlerOptions{Level: level, ReplaceAttr: replaceLevelName})}
 }
 
-// replaceLevelName names LevelOrdinary, which slog would write as DEBUG+2.
+// replaceLevelName names LevelOrdinary and LevelFirst, which slog would write relative to DEBUG
+// and INFO.
 func replaceLevelName(groups []string, a slog.Attr) slog.Attr {
-	if len(groups) == 0 && a.Key == slog.LevelKey && a.Value.Any() == LevelOrdinary {
+	if len(groups) > 0 || a.Key != slog.LevelKey {
+		return a
+	}
+	if level, _ := a.Value.Any().(slog.Level); level == LevelOrdinary || level == LevelFirst {
 		return slog.String(slog.LevelKey, "ORDINARY")
 	}
 	return a
--- a/internal/dlog/dlog_test.go
+++ b/internal/dlog/dlog_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"io"
 	"log/slog"
 	"strings"
 	"testing"
@@ -68,6 +69,48 @@
 	require.Contains(t, text, `"msg":"lines left out","ordinary":1200,"other":0`)
 }
 
+func TestFirstLinesOfRequestsOutlastFurtherOnes(t *testing.T) {
+	now := clock.Millis(0)
+	out := &bytes.Buffer{}
+	l := New(out, fakeClock{&now})
+	log := slog.New(NewHandler(l, LevelOrdinary))
+	for range linesPerSecond {
+		log.Log(context.Background(), LevelOrdinary, "further")
+	}
+	for range 2 * firstLinesPerSecond {
+		log.Log(context.Background(), LevelFirst, "first")
+	}
+	log.Info("refused")
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	done := make(chan error, 1)
+	l.Run(ctx, done)
+	<-done
+	text := out.String()
+	require.Equal(t, firstLinesPerSecond, strings.Count(text, `"level":"ORDINARY","msg":"first"`))
+	require.Equal(t, 1, strings.Count(text, `"msg":"refused"`))
+}
+
+// BenchmarkLine measures one line of an entry, dropped ones included.
+func BenchmarkLine(b *testing.B) {
+	for name, second := range map[string]clock.Millis{"written": clock.Second, "dropped": 0} {
+		b.Run(name, func(b *testing.B) {
+			now := clock.Millis(0)
+			l := New(io.Discard, fakeClock{&now})
+			log := slog.New(NewHandler(l, LevelOrdinary))
+			b.ReportAllocs()
+			for b.Loop() {
+				now += second
+				log.Log(context.Background(), LevelOrdinary, "tasks placed", "job", "5c56075ca8946e59", "tasks", 4, "run", 1,
+					"worker", "i-44305c582b", "speed", 1.4, "free_milli_cpu", 1950, "report_age_ms", 3, "expected_ms", 32)
+				for second > 0 && len(l.queue) > 0 {
+					<-l.queue
+				}
+			}
+		})
+	}
+}
+
 // countingWriter counts the calls of Write.
 type countingWriter struct {
 	bytes.Buffer
