sched: Lines that name every placement, and why a run counts as over

Cause: a job left up to one line `tasks placed` for each launch, 3 to 5 a job, so that a busy entry dropped all lines of most jobs. No line named a job that was received again, a run that counts as over without its agent's word, or the request of a job whose caller is gone (its `request` was empty).

Change: one line `tasks placed` for a job and round, with its launches, their runs and the request; the first one of a job has dlog's reserve. New lines: `job received again`, `run resolved`, `end of another run ignored`, `cancellation passed on`. The lines about links name the incarnation and the runs at stake. No decision changes: place.Resolved and Launch.Claim are only logged.

--- a/internal/place/events.go
+++ b/internal/place/events.go
@@ -95,6 +95,7 @@
 	w := s.Workers[agent]
 	l := s.newLaunch(j, launchKey{agent, t.ID.Step}, w)
 	l.Tasks = []LaunchTask{{ID: t.ID, Run: t.Run}}
+	l.Claim = true
 	w.unacked = append(w.unacked, unackedTask{launch: l.Number, size: l.Size})
 	t.State, t.AgentReplaced = TaskSent, false
 	s.actions = append(s.actions, *l)
@@ -126,7 +127,7 @@
 				t.Stopping = false
 				continue
 			}
-			s.retryOrFinish(j, t, jobs.OutcomeNotRun, now)
+			s.resolve(j, t, jobs.OutcomeNotRun, ResolvedByInventory, now)
 		}
 		if j.Answered {
 			s.resendStops(j, agent)
@@ -201,6 +202,13 @@
 	return true
 }
 
+// resolve handles a run whose end no agent reported.
+func (s *Scheduler) resolve(j *Job, t *Task, outcome jobs.Outcome, cause ResolveCause, now clock.Millis) {
+	s.actions = append(s.actions, Resolved{Job: j.Spec.ID, Task: t.ID, Run: t.Run, Agent: t.Agent, Worker: s.WorkerID(t.Agent),
+		Outcome: outcome, Cause: cause, AgentReplaced: t.AgentReplaced, SentAt: t.SentAt})
+	s.retryOrFinish(j, t, outcome, now)
+}
+
 // retryOrFinish queues a task again after a run that didn't succeed, or finishes the
 // job if no further run is allowed.
 func (s *Scheduler) retryOrFinish(j *Job, t *Task, outcome jobs.Outcome, now clock.Millis) {
@@ -274,7 +282,7 @@
 func (s *Scheduler) tickJob(j *Job, now clock.Millis) {
 	for _, t := range j.Tasks {
 		if t.State == TaskUnknown && now >= t.ResolvesAt {
-			s.retryOrFinish(j, t, jobs.OutcomeLost, now)
+			s.resolve(j, t, jobs.OutcomeLost, ResolvedByTime, now)
 		}
 	}
 	if j.Answered {
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -245,7 +245,7 @@
 	ReasonCallerGone  Reason = "caller_gone"
 )
 
-// Action is an instruction from the scheduler to the entry: a Launch, Stop or Answer.
+// Action is an instruction from the scheduler to the entry: a Launch, Stop, Answer or Resolved.
 type Action interface{ action() }
 
 // Launch sends tasks of one step of a job to an agent.
@@ -263,6 +263,8 @@
 	// LatestStart is the job's LatestStart, in milliseconds of Unix time.
 	LatestStart int64
 	Tasks       []LaunchTask
+	// Claim is set if the launch takes over a run that an earlier agent process started.
+	Claim bool
 }
 
 // LaunchTask identifies a task of a launch and the number of its run.
@@ -303,9 +305,37 @@
 	OldestReportMS clock.Millis
 }
 
-func (Launch) action() {}
-func (Stop) action()   {}
-func (Answer) action() {}
+// ResolveCause is why a run counts as over although no agent reported its end.
+type ResolveCause string
+
+// The causes of a Resolved.
+const (
+	// ResolvedByTime: the agent was unreachable until ResolvesAt.
+	ResolvedByTime ResolveCause = "unreachable"
+	// ResolvedByInventory: the agent linked again and does not list the run.
+	ResolvedByInventory ResolveCause = "not_listed"
+)
+
+// Resolved records that a run counts as over although no agent reported its end.
+type Resolved struct {
+	Job  jobs.ID
+	Task jobs.TaskID
+	Run  int64
+	// Agent is the incarnation of the agent that the run was sent to, and Worker the id of its
+	// worker.
+	Agent   string
+	Worker  string
+	Outcome jobs.Outcome
+	Cause   ResolveCause
+	// AgentReplaced is that of the task.
+	AgentReplaced bool
+	SentAt        clock.Millis
+}
+
+func (Launch) action()   {}
+func (Stop) action()     {}
+func (Answer) action()   {}
+func (Resolved) action() {}
 
 // Parameters of the scheduler's decisions.
 const (
--- a/internal/sched/links.go
+++ b/internal/sched/links.go
@@ -58,7 +58,7 @@
 	}
 	e.linkedEntries[incarnation] = &linkedEntry{link: l}
 	e.rosterChanged = true
-	e.log.Info("link up", "peer", l.Peer.Name, "role", string(l.Peer.Role))
+	e.log.Info("link up", "peer", l.Peer.Name, "role", string(l.Peer.Role), "incarnation", incarnation)
 	l.Send(e.entryStateFrame())
 }
 
@@ -88,7 +88,8 @@
 	incarnation := ev.Link.Peer.Incarnation
 	if e.agents[incarnation] == ev.Link {
 		delete(e.agents, incarnation)
-		e.log.Info("link down", "peer", ev.Link.Peer.Name, "role", "agent", "error", errors.Details(ev.Err))
+		e.log.Info("link down", "peer", ev.Link.Peer.Name, "role", "agent", "incarnation", incarnation,
+			"runs", e.agentRuns(incarnation), "report_age_ms", e.reportAge(incarnation), "error", errors.Details(ev.Err))
 		e.scheduler.AgentDisconnected(incarnation, e.clock.Now())
 	}
 	if other := e.linkedEntries[incarnation]; other != nil && other.link == ev.Link {
@@ -167,7 +168,8 @@
 			old.Close("replaced by a new link")
 		}
 		e.agents[incarnation] = l
-		e.log.Info("link up", "peer", l.Peer.Name, "role", "agent")
+		e.log.Info("link up", "peer", l.Peer.Name, "role", "agent", "incarnation", incarnation,
+			"earlier", e.earlierAgent(incarnation, l.Peer.Name), "held", len(m.GetHeld()), "ends", len(m.GetEnds()))
 	}
 	e.scheduler.ReplaceOldAgents(incarnation, l.Peer.Name, now)
 	e.onRunEnds(incarnation, m.GetEnds(), now)
@@ -190,6 +192,7 @@
 			e.log.Info("run ended", "job", t.GetJob(), "task", ref.Task.String(), "run", t.GetRun(),
 				"end", outcome.String(), "ran_ms", t.GetRanMs(), "agent", e.scheduler.WorkerID(agent))
 		}
+		e.logStaleEnd(agent, ref, t.GetRun(), outcome)
 		e.scheduler.RunEnded(agent, ref, t.GetRun(), outcome, clock.Millis(t.GetRanMs()), now)
 	}
 }
--- a/internal/sched/messages.go
+++ b/internal/sched/messages.go
@@ -6,6 +6,7 @@
 
 	"github.com/turmericbarrow/turmericbarrow/internal/clock"
 	"github.com/turmericbarrow/turmericbarrow/internal/contr"
+	"github.com/turmericbarrow/turmericbarrow/internal/dlog"
 	"github.com/turmericbarrow/turmericbarrow/internal/jobs"
 	"github.com/turmericbarrow/turmericbarrow/internal/place"
 )
@@ -51,16 +52,21 @@
 	}
 	if len(e.waiters[id]) > 0 {
 		// The same job was submitted again while it is in progress: one answer serves both.
+		e.logResent(m.request, resentWaiting)
 		e.waiters[id] = append(e.waiters[id], m.waiter)
 		return
 	}
 	e.waiters[id] = []*waiter{m.waiter}
+	e.requestIDs[id] = m.request.RequestID
 	accepted := e.scheduler.Submit(place.Submission{
 		Spec: m.request.Spec, Queue: m.request.Queue, TermsVersion: m.request.TermsVersion, CallerDeadline: callerDeadline}, now)
 	if !accepted {
 		// An answered submission of this job still has runs that may be executing.
+		e.logResent(m.request, resentEnding)
 		e.replyTo(id, Reply{Verdict: place.VerdictUnknown, Reason: place.ReasonCallerGone})
+		return
 	}
+	e.logResent(m.request, resentAnswered)
 }
 
 func (m callerDisconnected) apply(e *Entry) {
@@ -96,6 +102,7 @@
 	now := e.clock.Now()
 	held := e.scheduler.Cancel(m.id, now)
 	if !held {
+		e.log.Log(context.Background(), dlog.LevelOrdinary, "cancellation passed on", "job", string(m.id))
 		e.cancels.add(m.id, "", now)
 	}
 	m.answer <- held
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -159,6 +159,10 @@
 
 	// waiters holds the callers that wait for each unanswered job.
 	waiters map[jobs.ID][]*waiter
+	// requestIDs holds the request id of the first caller of each unanswered job, and answers
+	// the last answers; both are for the log.
+	requestIDs map[jobs.ID]string
+	answers    *answerMemory
 	// agents and linkedEntries are keyed by incarnation. A link to an agent is in agents
 	// once the agent's inventory has arrived over it.
 	agents        map[string]*link.Link
@@ -235,6 +239,8 @@
 		listing:        roster.NewListing(),
 		drainRequested: make(chan struct{}, 1),
 		waiters:        map[jobs.ID][]*waiter{},
+		requestIDs:     map[jobs.ID]string{},
+		answers:        newAnswerMemory(),
 		agents:         map[string]*link.Link{},
 		linkedEntries:  map[string]*linkedEntry{},
 		selector:       roster.NewSelector(s.Self.Name, s.Seeds, entryLinks, maxMeshEntries, c.Now()),
@@ -514,10 +520,17 @@
 // performActions performs the scheduler's actions: it sends frames to agents and answers to
 // callers.
 func (e *Entry) performActions() {
-	for _, action := range e.scheduler.TakeActions() {
+	actions := e.scheduler.TakeActions()
+	unloggedLaunches := launchesByJob(actions)
+	for _, action := range actions {
 		switch a := action.(type) {
 		case place.Launch:
-			e.sendLaunch(a)
+			e.logPlacement(a.Job, unloggedLaunches[a.Job])
+			delete(unloggedLaunches, a.Job)
+			e.metrics.TasksPlaced.Add(len(a.Tasks))
+			e.sendToAgent(a.Agent, launchFrame(a, e.clock.Now()))
+		case place.Resolved:
+			e.logResolved(a)
 		case place.Stop:
 			e.log.Info("runs halted", "job", string(a.Job), "tasks", len(a.Tasks), "worker", e.scheduler.WorkerID(a.Agent))
 			e.sendToAgent(a.Agent, stopFrame(a))
@@ -533,16 +546,6 @@
 	}
 }
 
-func (e *Entry) sendLaunch(a place.Launch) {
-	e.metrics.TasksPlaced.Add(len(a.Tasks))
-	if w := e.scheduler.Workers[a.Agent]; w != nil {
-		e.log.Log(context.Background(), dlog.LevelOrdinary, "tasks placed", "job", string(a.Job), "tasks", len(a.Tasks),
-			"run", a.Tasks[0].Run, "worker", w.ID, "speed", w.Speed, "free_milli_cpu", w.Free().MilliCPU,
-			"report_age_ms", int64(e.clock.Now()-w.ReportedAt), "expected_ms", int64(a.ExpectedMS))
-	}
-	e.sendToAgent(a.Agent, launchFrame(a, e.clock.Now()))
-}
-
 func (e *Entry) deliverAnswer(a place.Answer) {
 	level := slog.LevelInfo
 	if a.Verdict == place.VerdictSucceeded {
@@ -551,23 +554,16 @@
 	j := a.Job
 	took := e.clock.Now() - j.ArrivedAt
 	e.metrics.recordAnswer(a, took)
-	e.log.Log(context.Background(), level, "job answered", "job", string(j.Spec.ID), "request", e.firstRequestID(j.Spec.ID),
+	e.log.Log(context.Background(), level, "job answered", "job", string(j.Spec.ID), "request", e.requestIDs[j.Spec.ID],
 		"verdict", a.Verdict.String(), "reason", string(a.Reason), "queue", j.Queue.Name, "version", j.TermsVersion,
 		"took_ms", int64(took), "first_sent_ms", sinceArrival(j, j.FirstSentAt), "last_sent_ms", sinceArrival(j, j.LastSentAt),
 		"tasks", len(j.Tasks), "objective_ms", int64(j.Objective), "work_ms", int64(j.PredictedWorkMS),
 		"patience_ms", int64(j.QueueDeadline-j.ArrivedAt), "retry_after_ms", int64(a.RetryAfter), "waiting", a.View.JobsToPlace,
 		"workers", a.View.Workers, "open", a.View.WorkersWithFreeCPU, "oldest_report_ms", int64(a.View.OldestReportMS))
+	e.answers.add(j.Spec.ID, rememberedAnswer{at: e.clock.Now(), verdict: a.Verdict.String(), request: e.requestIDs[j.Spec.ID]})
 	e.replyTo(j.Spec.ID, Reply{Verdict: a.Verdict, Reason: a.Reason, TermsVersion: j.TermsVersion, RetryAfter: a.RetryAfter})
 }
 
-// firstRequestID returns the request id of the first caller that waits for a job.
-func (e *Entry) firstRequestID(id jobs.ID) string {
-	if ws := e.waiters[id]; len(ws) > 0 {
-		return ws[0].requestID
-	}
-	return ""
-}
-
 // sinceArrival returns the milliseconds from a job's arrival to at, or -1 if the job has
 // not started.
 func sinceArrival(j *place.Job, at clock.Millis) int64 {
@@ -584,4 +580,5 @@
 		w.reply <- r
 	}
 	delete(e.waiters, id)
+	delete(e.requestIDs, id)
 }
