runner: Lines for each run's start, stops and end

Cause: an agent wrote no line about a run that its worker accepted, none about a run stopped because its entry was gone, and none about a run taken over from an earlier agent process. Nothing told for how long it had not heard from the entry.

Change: `start sent` (with dlog's reserve), `run over`, `stop sent` and `run claimed`, each with job, task, run, entry, worker and the time since the last frame from the entry was handled; `link down` says what the agent still holds for the entry. No decision changes: runs.Ended is only logged.

--- a/internal/runner/calls.go
+++ b/internal/runner/calls.go
@@ -51,6 +51,9 @@
 			a.logLoss(act)
 		}
 	}
+	for _, e := range a.supervisor.TakeEnded() {
+		a.logEnd(e)
+	}
 	for entry, ends := range reports {
 		if l := a.links[entry]; l != nil {
 			l.link.Send(a.capacityFrame(l))
@@ -78,7 +81,9 @@
 }
 
 func (a *Agent) startRun(ctx context.Context, r runs.Run) {
-	until := a.computeLeaseEnd(a.clock.Now(), runs.StartLeaseMS) + a.clockOffset
+	leaseEnd := a.computeLeaseEnd(a.clock.Now(), runs.StartLeaseMS)
+	a.logStart(r, leaseEnd)
+	until := leaseEnd + a.clockOffset
 	a.supervisor.SetLease(r.Ref, r.Entry, until)
 	a.activeCalls++
 	w := *a.supervisor.Worker
@@ -141,6 +146,8 @@
 	if r.Entry == "" {
 		a.log.Info("stopping a run that no entry holds", "job", string(r.Ref.Job), "task", r.Ref.Task.String(), "run", r.Number,
 			"worker", w.ID, "lease_left_ms", int64(max(a.renewedUntil-a.clock.Now(), 0)))
+	} else {
+		a.logStop(r)
 	}
 	go func() {
 		ctx, stop := context.WithTimeout(ctx, maxCallTimeoutMS.Duration())
--- a/internal/runner/links.go
+++ b/internal/runner/links.go
@@ -103,7 +103,7 @@
 		}
 		a.links[entry] = &entryLink{link: e.Link}
 		a.lastReceived[entry] = a.clock.Now()
-		a.log.Info("link up", "peer", e.Link.Peer.Name, "address", e.Link.RemoteAddr().String())
+		a.log.Info("link up", "peer", e.Link.Peer.Name, "address", e.Link.RemoteAddr().String(), "incarnation", entry)
 		a.sendInventory(entry, e.Link)
 		e.Link.Send(a.capacityFrame(a.links[entry]))
 	case link.Received:
@@ -137,7 +137,9 @@
 	}
 	delete(a.links, entry)
 	a.supervisor.EntryDisconnected(entry, a.clock.Now())
-	a.log.Info("link down", "peer", e.Link.Peer.Name, "error", errors.Details(e.Err))
+	held, atWorker := a.entryRuns(entry)
+	a.log.Info("link down", "peer", e.Link.Peer.Name, "incarnation", entry, "held", held, "at_worker", atWorker,
+		"contact_ms", a.contactAge(entry), "error", errors.Details(e.Err))
 }
 
 func (a *Agent) onFrame(entry string, l *entryLink, f *wire.Frame) {
@@ -145,7 +147,9 @@
 	switch b := f.Body.(type) {
 	case *wire.Frame_Launch:
 		l.lastLaunch = b.Launch.GetNumber()
-		a.supervisor.Launch(decodeLaunch(entry, b.Launch, now), now)
+		launched := decodeLaunch(entry, b.Launch, now)
+		a.logClaims(launched)
+		a.supervisor.Launch(launched, now)
 	case *wire.Frame_Halt:
 		job, tasks := decodeHalt(b.Halt)
 		a.supervisor.StopTasks(entry, job, tasks, now)
--- a/internal/runs/run.go
+++ b/internal/runs/run.go
@@ -122,6 +122,12 @@
 	End   RunEnd
 }
 
+// Ended records a run as it was before its end; the end is also in a Report.
+type Ended struct {
+	Run Run
+	End RunEnd
+}
+
 // LossCause is the reason why a run counts as lost.
 type LossCause string
 
--- a/internal/runs/supervisor.go
+++ b/internal/runs/supervisor.go
@@ -38,6 +38,8 @@
 	// used is the total size of runs.
 	used    jobs.Size
 	actions []Action
+	// ended holds the runs that have ended since the last call of TakeEnded.
+	ended []Ended
 	// unconfirmed is set from the first announcement or record of a worker until a poll has
 	// confirmed its epoch and listed its runs.
 	unconfirmed bool
@@ -160,6 +162,13 @@
 	return a
 }
 
+// TakeEnded returns the runs that have ended since the last call, for the log.
+func (s *Supervisor) TakeEnded() []Ended {
+	ended := s.ended
+	s.ended = nil
+	return ended
+}
+
 // StopAccepting makes the supervisor refuse new runs and returns the queued ones to their
 // entries as not run; runs at the worker continue. The agent calls it when it drains and
 // when its worker deregisters, and clears StoppedAccepting when a new epoch of the worker
@@ -223,19 +232,24 @@
 // the recent ends, which the entry may have missed.
 func (s *Supervisor) EntryConnected(entry string) ([]Run, []RunEnd) {
 	delete(s.disconnected, entry)
-	var held []Run
-	for _, run := range s.sortedRuns() {
-		if run.Entry == entry {
-			held = append(held, *run)
-		}
-	}
 	var ends []RunEnd
 	for _, e := range s.recentEnds {
 		if e.entry == entry {
 			ends = append(ends, e.end)
 		}
 	}
-	return held, ends
+	return s.RunsOf(entry), ends
+}
+
+// RunsOf returns the runs that are held for an entry.
+func (s *Supervisor) RunsOf(entry string) []Run {
+	var held []Run
+	for _, run := range s.sortedRuns() {
+		if run.Entry == entry {
+			held = append(held, *run)
+		}
+	}
+	return held
 }
 
 // StopAll stops all runs. The agent calls it after its process was paused for so long
@@ -369,6 +383,7 @@
 	s.Changed = true
 	e := RunEnd{Ref: run.Ref, Number: run.Number, Outcome: outcome, RanMS: ranMS, WorkerFault: workerFault}
 	s.recentEnds = append(s.recentEnds, recentEnd{entry: run.Entry, end: e, at: now})
+	s.ended = append(s.ended, Ended{Run: *run, End: e})
 	s.actions = append(s.actions, Report{Entry: run.Entry, End: e})
 }
 
