joblog: The runs of a job with their agents, and which overlap

Cause: explain listed lines, but an engineer had to work out which run was where and whether two of one task were at work at once.

Change: explain lists each run with worker, agent's host, entry, start, end and outcome, from the agents' lines or, where those are missing, from the entry's, and says when two runs of one task overlap by their agents' lines.

Measured: TestExplainShowsBothRunsOfATaskWithTheirAgents.

--- a/internal/joblog/joblog.go
+++ b/internal/joblog/joblog.go
@@ -45,6 +45,8 @@
 	Job     string `json:"job"`
 	Request string `json:"request,omitempty"`
 	Cause   string `json:"cause"`
+	// Runs holds the runs of the job's tasks.
+	Runs []Run `json:"runs,omitempty"`
 	// Lines holds the job's log lines in order, each with the name of its host first.
 	Lines []string `json:"steps"`
 }
@@ -112,12 +114,19 @@
 		}
 	}
 	x.Cause = findCause(jobLines)
+	x.Runs = findRuns(jobLines)
+	if twice := findOverlap(x.Runs); twice != "" {
+		x.Cause = twice + "; " + x.Cause
+	}
 	return x, nil
 }
 
 // messageOrder is the order in which the log messages about a job are normally written. It
 // decides where the clocks of two hosts may disagree.
-var messageOrder = map[string]int{"tasks placed": 0, "start not done": 1, "runs halted": 2, "run ended": 3, "job answered": 4}
+var messageOrder = map[string]int{
+	"tasks placed": 0, "run claimed": 1, "start sent": 1, "start not done": 2, "runs halted": 3, "stop sent": 4, "run lost": 4,
+	"run over": 5, "run ended": 6, "run resolved": 6, "job answered": 7,
+}
 
 // maxClockSkew is the largest expected difference between the clocks of two hosts.
 const maxClockSkew = 5 * time.Millisecond
--- a/internal/joblog/joblog_test.go
+++ b/internal/joblog/joblog_test.go
@@ -52,3 +52,32 @@
 	_, err := Explain(readLogs(t), "zz")
 	require.ErrorContains(t, err, "zz")
 }
+
+// Two entries had one job, and their agents the runs of its task.
+func TestExplainShowsBothRunsOfATaskWithTheirAgents(t *testing.T) {
+	var lines []Line
+	for host, text := range map[string]string{
+		"entry-1": `{"time":"2026-05-21T07:33:37Z","msg":"tasks placed","job":"dd","request":"r1","launches":[{"worker":"i-1","host":"side-1","runs":["0.0:1"]},{"worker":"i-3","host":"side-3","runs":["0.1:1"]},{"worker":"","host":"side-1","runs":["0.0:1"],"claim":true}]}`,
+		"entry-2": `{"time":"2026-05-21T07:33:38.3Z","msg":"tasks placed","job":"dd","request":"r2","launches":[{"worker":"i-2","host":"side-2","runs":["0.0:1"]}]}`,
+		"side-1": `{"time":"2026-05-21T07:33:37.002Z","msg":"start sent","job":"dd","task":"0.0","run":1,"worker":"i-1","entry":"entry-1","incarnation":"e1"}
+{"time":"2026-05-21T07:33:37.1Z","msg":"run claimed","job":"dd","task":"0.0","run":1,"worker":"i-1","entry":"entry-1","incarnation":"e1"}
+{"time":"2026-05-21T07:33:38.4Z","msg":"run over","job":"dd","task":"0.0","run":1,"worker":"i-1","entry":"","incarnation":"e1","end":"done"}`,
+		"side-2": `{"time":"2026-05-21T07:33:38.301Z","msg":"start sent","job":"dd","task":"0.0","run":1,"worker":"i-2","entry":"entry-2","incarnation":"e2"}`,
+	} {
+		more, err := Read(host, strings.NewReader(text))
+		require.NoError(t, err)
+		lines = append(lines, more...)
+	}
+	x, err := Explain(lines, "r2")
+	require.NoError(t, err)
+	require.Contains(t, x.Cause, "two runs of task 0.0 at once, for up to 99 ms")
+	var runs []string
+	for _, r := range x.Runs {
+		runs = append(runs, r.String())
+	}
+	require.Equal(t, []string{
+		"run 1 of task 0.1 on i-3 by side-3 for entry-1: 07:33:37.000 to ?, by the entry's line only",
+		"run 1 of task 0.0 on i-1 by side-1 for entry-1: 07:33:37.002 to 07:33:38.400 done",
+		"run 1 of task 0.0 on i-2 by side-2 for entry-2: 07:33:38.301 to ?",
+	}, runs)
+}
--- a/pkg/cli/inspect.go
+++ b/pkg/cli/inspect.go
@@ -230,7 +230,11 @@
 	if format == formatJSON {
 		return a.printJSON(s)
 	}
-	_, err = fmt.Fprintf(a.out, "job %s request %s\n%s\n  %s\n", s.Job, s.Request, s.Cause, strings.Join(s.Lines, "\n  "))
+	fmt.Fprintf(a.out, "job %s request %s\n%s\n", s.Job, s.Request, s.Cause)
+	for _, r := range s.Runs {
+		fmt.Fprintln(a.out, r)
+	}
+	_, err = fmt.Fprintf(a.out, "  %s\n", strings.Join(s.Lines, "\n  "))
 	return err
 }
 
