runs, link: Contact with an entry counts from a proof that it was alive

Callers saw: a task ran at two workers at once (TWICE): after its entry was killed the first run went on, and 1,300 ms later the caller submitted the job again.

Cause: an agent counted the contact with an entry from when it processed a frame. A frame may have waited on its way or in a busy process; pauses up to 300 ms are not even noticed. The leases of a dead entry's runs then ended up to 1,509 ms after its death in place of 1,209. The link's timeout, which should have stopped the runs before, counts from the processing of a packet as well, and grows with the measured round trip (at least three probe timeouts).

Change: each frame carries the time at which it was sent, and the time of the newest frame that its sender had handled. An entry's echo of an agent's own frame proves to the agent that the entry lived at that time of the agent's clock, however late the echo arrives. Leases are bounded by that (runs/leases.go, which takes the decision out of the runner). An entry whose proof is 1,009 ms old is silent: its link is closed and its runs are stopped, 200 ms before a lease that ends would end those of the other entries. A launch of a silent entry is returned as not run. An entry of an earlier version sends no times; for it a frame counts from its processing, as before.

Why this works: what the agent relies on was sent by itself, so that no delay on the way back or before the processing can move it.

The lease test has the same times as before, with the contact set in the core.

--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -68,7 +68,15 @@
 	DialedAddress string
 	// LastSentAt is when the owner last sent a frame. An idle link needs a keepalive.
 	LastSentAt time.Time
+	// ContactAt is the last time at which the peer is known to have been alive: this end had sent
+	// a frame by then that the peer's owner handled later. It is zero until Observe is called with
+	// such a proof, and never decreases.
+	ContactAt time.Time
 
+	// openedAt is the origin of the times of this end's frames.
+	openedAt time.Time
+	// observed is the time of the peer's newest frame that the owner has handled; it is echoed.
+	observed int64
 	conn     *quic.Conn
 	stream   *quic.Stream
 	outbox   chan *wire.Frame
@@ -78,11 +86,11 @@
 }
 
 // Send queues a frame without blocking. If the outbox is full, it closes the link and
-// returns false.
+// returns false. The frame may be sent on other links as well.
 func (l *Link) Send(f *wire.Frame) bool {
 	l.LastSentAt = time.Now()
 	select {
-	case l.outbox <- f:
+	case l.outbox <- &wire.Frame{Body: f.Body, SentMs: l.timestamp(l.LastSentAt), EchoMs: l.observed}:
 		return true
 	default:
 		l.Close("outbox full")
@@ -90,6 +98,35 @@
 	}
 }
 
+// Observe records a received frame when its owner handles it: the next frames that are sent
+// echo its time, and its own echo may advance ContactAt. A frame is no proof of contact at the
+// time at which it is handled, since it may have waited for long. Only a peer of an earlier
+// version, which echoes nothing, counts as alive when its frame is handled.
+func (l *Link) Observe(f *wire.Frame) {
+	l.observed = max(l.observed, f.GetSentMs())
+	if contact := l.provenContact(f); contact.After(l.ContactAt) {
+		l.ContactAt = contact
+	}
+}
+
+// provenContact returns the time at which a frame proves that the peer was alive, or the zero time.
+func (l *Link) provenContact(f *wire.Frame) time.Time {
+	echo := f.GetEchoMs()
+	switch {
+	case f.GetSentMs() == 0:
+		return time.Now()
+	case echo < 1 || echo > l.timestamp(l.LastSentAt):
+		return time.Time{} // no echo, or not of a frame of this link
+	default:
+		return l.openedAt.Add(time.Duration(echo-1) * time.Millisecond)
+	}
+}
+
+// timestamp returns a time as the frames of this end carry it, which is above zero.
+func (l *Link) timestamp(t time.Time) int64 {
+	return t.Sub(l.openedAt).Milliseconds() + 1
+}
+
 // Close closes the link at once, dropping queued frames.
 func (l *Link) Close(reason string) {
 	if l.conn != nil {
@@ -114,6 +151,7 @@
 func newLink(conn *quic.Conn, stream *quic.Stream, dialedAddress string) *Link {
 	return &Link{
 		DialedAddress: dialedAddress,
+		openedAt:      time.Now(),
 		conn:          conn,
 		stream:        stream,
 		outbox:        make(chan *wire.Frame, maxQueuedFrames),
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -173,3 +173,37 @@
 		}
 	})
 }
+
+// Guards against leases that outlive a peer: a frame that waited on its way or in the process
+// proves no contact at the time at which it is handled.
+func TestContactCountsFromWhenTheEchoedFrameWasSent(t *testing.T) {
+	ns := newNodes(t)
+	server, address := ns.start(ns.authority, "server", "server", loopback, time.Hour)
+	client, _ := ns.start(ns.authority, "client", "client", loopback, time.Hour)
+	client.Dial(address)
+	clientLink := waitForEvent(t, client, link.Up).Link
+	serverLink := waitForEvent(t, server, link.Up).Link
+	pulse := &wire.Frame{Body: &wire.Frame_Pulse{Pulse: &wire.Pulse{}}}
+
+	serverLink.Send(pulse)
+	clientLink.Observe(waitForEvent(t, client, link.Received).Frame)
+	require.True(t, clientLink.ContactAt.IsZero(), "a frame that echoes nothing proves no contact")
+
+	clientLink.Send(pulse)
+	sentAt := time.Now()
+	received := waitForEvent(t, server, link.Received).Frame
+	time.Sleep(100 * time.Millisecond)
+	serverLink.Observe(received)
+	serverLink.Send(pulse)
+	echo := waitForEvent(t, client, link.Received).Frame
+	time.Sleep(100 * time.Millisecond)
+	clientLink.Observe(echo)
+	require.False(t, clientLink.ContactAt.IsZero())
+	require.False(t, clientLink.ContactAt.After(sentAt))
+
+	contact := clientLink.ContactAt
+	clientLink.Observe(&wire.Frame{SentMs: 1, EchoMs: 1 << 60})
+	require.Equal(t, contact, clientLink.ContactAt, "an echo of a frame that was never sent is ignored")
+	clientLink.Observe(&wire.Frame{})
+	require.True(t, clientLink.ContactAt.After(contact), "a peer of an earlier version echoes nothing")
+}
--- a/internal/place/fleet_test.go
+++ b/internal/place/fleet_test.go
@@ -63,7 +63,7 @@
 		f.entries = append(f.entries, s)
 	}
 	for i := range agents {
-		a := &fleetAgent{name: fmt.Sprint("agent-", i), supervisor: runs.New(), speed: 1.2, lastLaunch: map[int]uint64{}, running: map[runs.RunID]clock.Millis{}}
+		a := &fleetAgent{name: fmt.Sprint("agent-", i), supervisor: runs.New(1209), speed: 1.2, lastLaunch: map[int]uint64{}, running: map[runs.RunID]clock.Millis{}}
 		if i%4 == 0 {
 			a.speed = 0.55
 		}
--- a/internal/runner/calls.go
+++ b/internal/runner/calls.go
@@ -81,7 +81,7 @@
 }
 
 func (a *Agent) startRun(ctx context.Context, r runs.Run) {
-	leaseEnd := a.computeLeaseEnd(a.clock.Now(), runs.StartLeaseMS)
+	leaseEnd := a.supervisor.LeaseEnd(a.clock.Now(), runs.StartLeaseMS)
 	a.logStart(r, leaseEnd)
 	until := leaseEnd + a.clockOffset
 	a.supervisor.SetLease(r.Ref, r.Entry, until)
@@ -99,28 +99,11 @@
 	}()
 }
 
-// The leases of an entry's runs end at most resendFraction times Settings.ResendMS after the
-// last frame from the entry. The rest of ResendMS allows for a worker clock that runs a few
-// percent slow.
+// resendFraction times Settings.ResendMS is how long after the last contact with an entry the
+// leases of its runs end. The rest of ResendMS allows for a worker clock that runs a few percent
+// slow.
 const resendFraction = 0.93
 
-// computeLeaseEnd returns the end of a lease of leaseMS that begins now, on the agent's
-// clock. The lease is cut short so that, even if this process pauses now, the leases of an
-// unresponsive entry's runs expire before its callers resubmit their jobs. As a side effect,
-// entries that have neither runs nor a link are removed from lastReceived.
-func (a *Agent) computeLeaseEnd(now, leaseMS clock.Millis) clock.Millis {
-	until := now + leaseMS
-	entriesWithRuns := a.supervisor.EntriesWithRunsAtWorker()
-	for entry, at := range a.lastReceived {
-		if entriesWithRuns[entry] {
-			until = min(until, at+clock.Millis(resendFraction*float64(a.settings.ResendMS)))
-		} else if a.links[entry] == nil {
-			delete(a.lastReceived, entry)
-		}
-	}
-	return until
-}
-
 // callTimeout returns the timeout of a call after a number of consecutive unanswered ones.
 func callTimeout(unanswered int) clock.Millis {
 	return min(minCallTimeoutMS<<min(unanswered, maxCallDoublings), maxCallTimeoutMS)
@@ -188,7 +171,7 @@
 	}
 	until := clock.Millis(0)
 	if a.clockOffsetKnown && a.supervisor.RenewLeases(now) {
-		a.renewedUntil = a.computeLeaseEnd(now, a.settings.LeaseMS)
+		a.renewedUntil = a.supervisor.LeaseEnd(now, a.settings.LeaseMS)
 		until = a.renewedUntil + a.clockOffset
 	}
 	a.polling = true
--- a/internal/runner/lease_test.go
+++ b/internal/runner/lease_test.go
@@ -33,14 +33,14 @@
 		fakeStore{}, fakeStore{}, slog.New(slog.NewTextHandler(io.Discard, nil)))
 	a.supervisor.Announce(runs.Worker{ID: "w", Epoch: 1, Fleet: "f", Capacity: jobs.Size{MilliCPU: 4000}}, 0)
 	a.supervisor.HandlePoll(runs.PollResult{SentEpoch: 1, Epoch: 1}, 0)
-	a.lastReceived["gone"], a.lastReceived["lives"] = 1000, 1900
-	require.Equal(t, clock.Millis(2900), a.computeLeaseEnd(1900, 1000), "the worker has no runs of the unresponsive entry")
-	a.lastReceived["gone"] = 1000
+	a.supervisor.RecordContact("gone", 1000)
+	a.supervisor.RecordContact("lives", 1900)
+	require.Equal(t, clock.Millis(2900), a.supervisor.LeaseEnd(1900, 1000), "the worker has no runs of the unresponsive entry")
 	a.supervisor.Launch([]runs.Run{{Ref: jobs.TaskRef{Job: "j"}, Number: 1, Entry: "gone"}}, 1000)
-	require.Equal(t, clock.Millis(2209), a.computeLeaseEnd(1900, 1000))
-	require.Less(t, a.computeLeaseEnd(1900, 1000), clock.Millis(1000+1300))
-	a.lastReceived["gone"] = 1850
-	require.Equal(t, clock.Millis(2900), a.computeLeaseEnd(1900, 1000))
+	require.Equal(t, clock.Millis(2209), a.supervisor.LeaseEnd(1900, 1000))
+	require.Less(t, a.supervisor.LeaseEnd(1900, 1000), clock.Millis(1000+1300))
+	a.supervisor.RecordContact("gone", 1850)
+	require.Equal(t, clock.Millis(2900), a.supervisor.LeaseEnd(1900, 1000))
 }
 
 // slowStore takes saveTime for each write.
--- a/internal/runner/links.go
+++ b/internal/runner/links.go
@@ -102,13 +102,13 @@
 			return
 		}
 		a.links[entry] = &entryLink{link: e.Link}
-		a.lastReceived[entry] = a.clock.Now()
 		a.log.Info("link up", "peer", e.Link.Peer.Name, "address", e.Link.RemoteAddr().String(), "incarnation", entry)
 		a.sendInventory(entry, e.Link)
 		e.Link.Send(a.capacityFrame(a.links[entry]))
 	case link.Received:
 		if l := a.links[entry]; l != nil && l.link == e.Link {
-			a.lastReceived[entry] = a.clock.Now()
+			e.Link.Observe(e.Frame)
+			a.recordContact(entry, e.Link)
 			a.onFrame(entry, l, e.Frame)
 		}
 	case link.Down:
@@ -116,6 +116,15 @@
 	}
 }
 
+// recordContact passes the last proof that an entry was alive on to the supervisor.
+func (a *Agent) recordContact(entry string, l *link.Link) {
+	if l.ContactAt.IsZero() {
+		return
+	}
+	age := clock.FromDuration(time.Since(l.ContactAt)) + 1 // rounded up
+	a.supervisor.RecordContact(entry, a.clock.Now()-age)
+}
+
 // sendInventory records that an entry is linked, and reports to it its runs at the agent, the
 // ends that it may have missed, and the orphaned runs of an earlier agent process.
 func (a *Agent) sendInventory(entry string, l *link.Link) {
--- a/internal/runner/logs.go
+++ b/internal/runner/logs.go
@@ -10,10 +10,9 @@
 	"github.com/turmericbarrow/turmericbarrow/internal/runs"
 )
 
-// contactAge returns the time since the last frame from an entry was handled, or -1 if none is
-// known.
+// contactAge returns the time since the last proof that an entry was alive, or -1 without one.
 func (a *Agent) contactAge(entry string) int64 {
-	at, known := a.lastReceived[entry]
+	at, known := a.supervisor.LastContact(entry)
 	if !known {
 		return -1
 	}
--- a/internal/runner/logs_test.go
+++ b/internal/runner/logs_test.go
@@ -35,7 +35,8 @@
 	a.supervisor.Announce(runs.Worker{ID: "w", Epoch: 1, Capacity: jobs.Size{MilliCPU: 1}}, a.clock.Now())
 	a.supervisor.HandlePoll(runs.PollResult{SentEpoch: 1, Epoch: 1}, a.clock.Now())
 	l, _ := link.NewUnconnected(host.Host{Name: "entry-1", Incarnation: "e"})
-	a.links["e"], a.lastReceived["e"] = &entryLink{link: l}, a.clock.Now()
+	a.links["e"] = &entryLink{link: l}
+	a.supervisor.RecordContact("e", a.clock.Now())
 	return a
 }
 
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -145,13 +145,10 @@
 	drainRequested chan struct{}
 	metrics        *Metrics
 
-	// links and lastReceived are keyed by the incarnation of the entry.
-	links map[string]*entryLink
-	// lastReceived is when a frame last arrived from each entry. It outlives the link
-	// while the worker may have runs of the entry.
-	lastReceived map[string]clock.Millis
-	selector     *roster.Selector
-	startedAt    clock.Millis
+	// links is keyed by the incarnation of the entry.
+	links     map[string]*entryLink
+	selector  *roster.Selector
+	startedAt clock.Millis
 	// selectedAt is when the selector last selected the entries to dial.
 	selectedAt clock.Millis
 	listing    *roster.Listing
@@ -188,7 +185,7 @@
 		log:            log,
 		worker:         worker,
 		directory:      directory,
-		supervisor:     runs.New(),
+		supervisor:     runs.New(clock.Millis(resendFraction * float64(s.ResendMS))),
 		pauseDetector:  clock.NewPauseDetector(pauseLimitMS, clock.FromDuration(idleInterval)),
 		announcements:  make(chan Announcement, inboxSize),
 		startResults:   make(chan startResult, inboxSize),
@@ -199,7 +196,6 @@
 		metrics:        newMetrics(),
 		drainRequested: make(chan struct{}, 1),
 		links:          map[string]*entryLink{},
-		lastReceived:   map[string]clock.Millis{},
 		selector:       roster.NewSelector(s.Self.Name, s.Seeds, MaxLinks, MaxLinks, c.Now()),
 		listing:        roster.NewListing(),
 		startedAt:      c.Now(),
@@ -348,20 +344,42 @@
 // stopAll closes all links and stops all runs.
 func (a *Agent) stopAll(reason string) {
 	now := a.clock.Now()
-	for entry, l := range a.links {
-		delete(a.links, entry)
-		l.link.Close(reason)
-		a.supervisor.EntryDisconnected(entry, now-runs.DisconnectGraceMS) // the grace period counts as over
+	for entry := range a.links {
+		a.abandonLink(entry, reason, now)
 	}
 	a.supervisor.StopAll(now)
 }
 
+// closeSilentLinks closes the links of the entries that nothing proves to be alive, and stops
+// their runs. The link itself may be up: its timeout counts from the processing of a packet and
+// grows with the round-trip time.
+func (a *Agent) closeSilentLinks(now clock.Millis) {
+	for entry := range a.supervisor.SilentEntries(now) {
+		l := a.links[entry]
+		if l == nil {
+			a.supervisor.EntryDisconnected(entry, now-runs.DisconnectGraceMS)
+			continue
+		}
+		a.log.Warn("entry silent; link closed and runs stopped", "peer", l.link.Peer.Name,
+			"contact_ms_ago", clock.FromDuration(time.Since(l.link.ContactAt)))
+		a.abandonLink(entry, "silent", now)
+	}
+}
+
+// abandonLink closes the link to an entry. Its grace period counts as over.
+func (a *Agent) abandonLink(entry, reason string, now clock.Millis) {
+	a.links[entry].link.Close(reason)
+	delete(a.links, entry)
+	a.supervisor.EntryDisconnected(entry, now-runs.DisconnectGraceMS)
+}
+
 // tickDue returns when the next tick is due at the latest.
 func (a *Agent) tickDue(now clock.Millis) clock.Millis {
 	due := now + clock.FromDuration(idleInterval)
 	if a.supervisor.NeedsFrequentTicks() || a.drainDeadline > 0 || a.supervisor.Unreachable {
 		due = now + clock.FromDuration(busyInterval)
 	}
+	due = max(a.supervisor.NextContactDue(due), now+minTickMS)
 	if a.supervisor.Changed {
 		due = min(due, max(a.capacityReportedAt+a.reportInterval(), now+minTickMS))
 	}
@@ -402,6 +420,7 @@
 
 func (a *Agent) onTick(ctx context.Context) {
 	now := a.clock.Now()
+	a.closeSilentLinks(now)
 	a.supervisor.Tick(now)
 	a.logWorker(now)
 	a.sendKeepalives()
--- /dev/null
+++ b/internal/runs/leases.go
@@ -0,0 +1,83 @@
+package runs
+
+import "github.com/turmericbarrow/turmericbarrow/internal/clock"
+
+const (
+	// stopReserveMS is how long before the end of its leases a run is stopped whose entry is
+	// silent. It allows for repeated stops: a lease that expires ends the runs of all entries.
+	stopReserveMS clock.Millis = 200
+	// contactMemoryMS is how long a contact is remembered while the entry has no runs here.
+	contactMemoryMS clock.Millis = 5000
+)
+
+// RecordContact records that an entry was alive at the given time.
+func (s *Supervisor) RecordContact(entry string, at clock.Millis) {
+	s.contacts[entry] = max(s.contacts[entry], at)
+}
+
+// LastContact returns when an entry was last known to be alive, if any contact is remembered.
+func (s *Supervisor) LastContact(entry string) (at clock.Millis, known bool) {
+	at, known = s.contacts[entry]
+	return at, known
+}
+
+// contactOf returns when the entry of a run was last known to be alive. Without a contact that
+// is when it requested the run.
+func (s *Supervisor) contactOf(run *Run) clock.Millis {
+	if at, ok := s.contacts[run.Entry]; ok {
+		return at
+	}
+	return max(run.QueuedAt, run.StartedAt)
+}
+
+// LeaseEnd returns the end of a lease of at most leaseMS that begins now. It is cut short so that,
+// even if this process ends now, the runs of an entry that is gone end before its callers submit
+// their jobs again. A lease applies to all runs on the worker.
+func (s *Supervisor) LeaseEnd(now, leaseMS clock.Millis) clock.Millis {
+	until := now + leaseMS
+	for _, run := range s.runs {
+		if run.Status != Queued {
+			until = min(until, s.contactOf(run)+s.ContactLeaseMS)
+		}
+	}
+	return until
+}
+
+// stopDue returns when a run is to be stopped for lack of contact with its entry.
+func (s *Supervisor) stopDue(run *Run) clock.Millis {
+	return s.contactOf(run) + s.ContactLeaseMS - stopReserveMS
+}
+
+// SilentEntries returns the entries whose runs have to be stopped because nothing proves that they
+// are still alive.
+func (s *Supervisor) SilentEntries(now clock.Millis) map[string]bool {
+	silent := map[string]bool{}
+	for _, run := range s.runs {
+		if !run.Stopping && now >= s.stopDue(run) {
+			silent[run.Entry] = true
+		}
+	}
+	return silent
+}
+
+// NextContactDue returns the earliest time at which an entry becomes silent, or limit if none does
+// before.
+func (s *Supervisor) NextContactDue(limit clock.Millis) clock.Millis {
+	due := limit
+	for _, run := range s.runs {
+		if !run.Stopping {
+			due = min(due, s.stopDue(run))
+		}
+	}
+	return due
+}
+
+// forgetContacts drops the old contacts of entries that have no runs here.
+func (s *Supervisor) forgetContacts(now clock.Millis) {
+	withRuns := s.EntriesWithRuns()
+	for entry, at := range s.contacts {
+		if !withRuns[entry] && now-at > contactMemoryMS {
+			delete(s.contacts, entry)
+		}
+	}
+}
--- a/internal/runs/orphans_test.go
+++ b/internal/runs/orphans_test.go
@@ -13,7 +13,7 @@
 // restoredSupervisor returns a supervisor that restored its worker from a record and
 // polled one running and one ended orphan.
 func restoredSupervisor() *Supervisor {
-	s := New()
+	s := New(contactLeaseMS)
 	s.Restore(testWorker)
 	s.HandlePoll(PollResult{ClockMS: 5, SentAt: 1, Epoch: 1, Running: []RunID{{ref("a", 0), 3}},
 		Ended: []EndedRun{{ref("a", 1), 3, jobs.OutcomeDone}}}, 5)
@@ -28,7 +28,7 @@
 }
 
 func TestRestoredWorkerAcceptsNoRunsBeforeFirstPoll(t *testing.T) {
-	s := New()
+	s := New(contactLeaseMS)
 	s.Restore(testWorker)
 	require.False(t, s.Confirmed())
 	s.Launch([]Run{newRun(entryA, "b", 0, 0)}, 1)
@@ -40,7 +40,7 @@
 }
 
 func TestRecordOfEarlierEpochIsDiscarded(t *testing.T) {
-	s := New()
+	s := New(contactLeaseMS)
 	s.Restore(testWorker)
 	s.HandlePoll(PollResult{ClockMS: 5, SentAt: 1, Epoch: 2, Running: []RunID{{ref("a", 0), 3}}}, 5)
 	require.Nil(t, s.Worker, "the next heartbeat describes the new epoch")
@@ -56,7 +56,7 @@
 
 // An answer without an epoch says nothing against the announced one.
 func TestFirstPollWithoutEpochConfirmsTheWorker(t *testing.T) {
-	s := New()
+	s := New(contactLeaseMS)
 	s.Announce(testWorker, 0)
 	s.HandlePoll(PollResult{ClockMS: 5, SentAt: 1, SentEpoch: 1}, 5)
 	require.True(t, s.Confirmed())
@@ -65,7 +65,7 @@
 // Guards against a renewed lease of a run that no entry holds, as in review/2, by an agent that
 // starts while the store is away and learns of its worker by an announcement.
 func TestAnnouncedWorkerIsNotUsedBeforeItsRunsAreListed(t *testing.T) {
-	s := New()
+	s := New(contactLeaseMS)
 	s.Announce(testWorker, 0)
 	require.False(t, s.RenewLeases(0))
 	s.Launch([]Run{newRun(entryA, "b", 0, 0)}, 1)
@@ -118,7 +118,7 @@
 // and the next agent renewed the lease of a run that no entry held, while its stop was carried
 // out late. The caller had resubmitted the job before the run ended.
 func TestOrphanIsStoppedAndItsLeaseIsNotRenewed(t *testing.T) {
-	s := New()
+	s := New(contactLeaseMS)
 	s.Restore(testWorker)
 	both := []RunID{{ref("a", 0), 3}, {ref("b", 0), 1}}
 	s.HandlePoll(PollResult{ClockMS: 5, SentAt: 1, Epoch: 1, Running: both}, 5)
--- a/internal/runs/starts.go
+++ b/internal/runs/starts.go
@@ -79,7 +79,7 @@
 		if !run.Size.FitsIn(free) {
 			return
 		}
-		if s.earlierRunAtWorker(run) {
+		if s.earlierRunAtWorker(run) || now >= s.stopDue(run) {
 			continue
 		}
 		free = free.Minus(run.Size)
--- a/internal/runs/supervisor.go
+++ b/internal/runs/supervisor.go
@@ -27,6 +27,9 @@
 	EjectedUntil clock.Millis
 	// Unreachable is set while the worker does not answer polls.
 	Unreachable bool
+	// ContactLeaseMS is how long after the last contact with an entry the leases of its runs end
+	// at the latest. It is shorter than the time after which callers submit their jobs again.
+	ContactLeaseMS clock.Millis
 	// Changed is set when entries need a report, though not at once. The agent clears it and
 	// NotifyNow with each report.
 	Changed bool
@@ -54,6 +57,8 @@
 	// disconnected is when the link to each disconnected entry ended. An entry is removed
 	// when it reconnects or its runs are stopped.
 	disconnected map[string]clock.Millis
+	// contacts holds when each entry was last known to be alive. It outlives the links.
+	contacts map[string]clock.Millis
 	// lastFailedJob is the job whose failure was counted last.
 	lastFailedJob jobs.ID
 	// nextEjectionMS is the duration of the next ejection.
@@ -150,9 +155,19 @@
 	expiryMarginMS = clock.Millis(100)
 )
 
-// New returns the supervisor of a worker that has not announced itself.
-func New() *Supervisor {
-	return &Supervisor{Speed: 1, runs: map[runKey]*Run{}, orphaned: map[RunID]orphanedRun{}, disconnected: map[string]clock.Millis{}, nextEjectionMS: minEjectionMS, announced: -1}
+// New returns the supervisor of a worker that has not announced itself. contactLeaseMS is the
+// value of ContactLeaseMS.
+func New(contactLeaseMS clock.Millis) *Supervisor {
+	return &Supervisor{
+		Speed:          1,
+		ContactLeaseMS: contactLeaseMS,
+		runs:           map[runKey]*Run{},
+		orphaned:       map[RunID]orphanedRun{},
+		disconnected:   map[string]clock.Millis{},
+		contacts:       map[string]clock.Millis{},
+		nextEjectionMS: minEjectionMS,
+		announced:      -1,
+	}
 }
 
 // TakeActions returns the pending actions and clears the list.
@@ -299,18 +314,6 @@
 	return false
 }
 
-// EntriesWithRunsAtWorker returns the entries with runs that the worker may have, by
-// incarnation. Entries that have only queued runs are left out.
-func (s *Supervisor) EntriesWithRunsAtWorker() map[string]bool {
-	out := map[string]bool{}
-	for _, run := range s.runs {
-		if run.Status != Queued {
-			out[run.Entry] = true
-		}
-	}
-	return out
-}
-
 // EntriesWithRuns returns the entries for which the agent holds runs, by incarnation.
 func (s *Supervisor) EntriesWithRuns() map[string]bool {
 	out := map[string]bool{}
@@ -360,6 +363,7 @@
 		// The condition holds until the next success, and so does Changed.
 		s.Changed = true
 	}
+	s.forgetContacts(now)
 	s.expireClaims(now)
 	s.stopOrphans(now)
 	s.checkStalled(now)
--- a/internal/runs/supervisor_test.go
+++ b/internal/runs/supervisor_test.go
@@ -14,6 +14,8 @@
 	entryA = "entry-a"
 	entryB = "entry-b"
 	lease  = clock.Millis(1000)
+	// contactLeaseMS leaves callers that resubmit after 1300 ms a reserve for slow clocks.
+	contactLeaseMS = clock.Millis(1209)
 )
 
 func cores(n int64) jobs.Size { return jobs.Size{MilliCPU: n * 1000, MemoryMB: 64} }
@@ -35,7 +37,7 @@
 // poll before the time 0, and had no runs.
 func newSupervisorOf(capacity jobs.Size) *Supervisor {
 	const start = -clock.Second
-	s := New()
+	s := New(contactLeaseMS)
 	s.Announce(Worker{ID: "w", Epoch: 1, Fleet: "f", Capacity: capacity}, start)
 	s.HandlePoll(PollResult{SentAt: start, SentEpoch: 1, Epoch: 1}, start)
 	s.Tick(start + claimWindowMS)
@@ -357,7 +359,7 @@
 		day = 24 * 3600 * int64(clock.Second)
 		now = 20_000 * day
 	)
-	s := New()
+	s := New(contactLeaseMS)
 	s.Announce(Worker{ID: "w", Epoch: now}, 0)
 	polls := 0
 	for s.Worker.Token < now+day {
@@ -484,7 +486,7 @@
 }
 
 func TestSpeedFollowsWorkerThatSlowsDown(t *testing.T) {
-	s := New()
+	s := New(contactLeaseMS)
 	for range 100 {
 		s.updateSpeed(0)
 	}
--- a/internal/sched/links.go
+++ b/internal/sched/links.go
@@ -22,6 +22,7 @@
 	case link.Up:
 		e.onLinkUp(ev.Link)
 	case link.Received:
+		ev.Link.Observe(ev.Frame)
 		e.onFrame(ev.Link, ev.Frame)
 	case link.Down:
 		e.onLinkDown(ev)
