runs: Answer a late claim once the run has ended

Callers saw (in a test): a task on two workers at once. An entry claims the run that a restarted agent has found; if its claim arrived after the claim window, the agent answered not run, although the run was only being stopped, and the entry started the task elsewhere at once.

Change: the entry gets the run, which is being stopped, and learns of its end from the worker's list; until then its lease is not renewed. Inventories list it as held.

--- a/internal/runs/orphans.go
+++ b/internal/runs/orphans.go
@@ -109,11 +109,12 @@
 }
 
 // claim assigns the orphaned run that has the task and number of run to the entry of run.
-// It reports whether there was such an orphan.
+// It reports whether there was such an orphan. After the claim window the orphan is being stopped,
+// and the entry has to wait for its end.
 func (s *Supervisor) claim(run Run, now clock.Millis) bool {
 	id := RunID{run.Ref, run.Number}
 	orphan, ok := s.orphaned[id]
-	if !ok || s.claimUntil == 0 {
+	if !ok {
 		return false
 	}
 	delete(s.orphaned, id)
@@ -121,6 +122,8 @@
 	run.StartedAt = now
 	run.Epoch = s.Worker.Epoch
 	run.Claimed = true
+	run.ClaimedLate = s.claimUntil == 0
+	run.Stopping, run.StopSentAt = run.ClaimedLate, orphan.StopSentAt
 	s.runs[runKey{run.Ref, run.Entry}] = &run
 	s.used = s.used.Plus(run.Size)
 	if orphan.HasEnded {
@@ -166,15 +169,20 @@
 	return cmp.Compare(a.Number, b.Number)
 }
 
-// HasRunningOrphans reports whether any orphaned run has not ended. While there is one, the
-// worker accepts no runs and its leases are not renewed: the capacity that the orphan uses is
-// unknown, a start or a renewal would extend its lease, and its caller may have resubmitted the
-// job.
+// HasRunningOrphans reports whether any orphaned run that no entry claimed in time has not ended.
+// While there is one, the worker accepts no runs and its leases are not renewed: the capacity that
+// the orphan uses is unknown, a start or a renewal would extend its lease, and its caller may have
+// resubmitted the job.
 func (s *Supervisor) HasRunningOrphans() bool {
 	for _, o := range s.orphaned {
 		if !o.HasEnded {
 			return true
 		}
 	}
+	for _, run := range s.runs {
+		if run.ClaimedLate {
+			return true
+		}
+	}
 	return false
 }
--- a/internal/runs/run.go
+++ b/internal/runs/run.go
@@ -89,6 +89,9 @@
 	// Claimed is set for a run that an earlier agent process started; its start time is
 	// unknown.
 	Claimed bool
+	// ClaimedLate is set for a claimed run that is being stopped, because the claim arrived after
+	// the claim window. Its lease is not renewed.
+	ClaimedLate bool
 }
 
 // runKey identifies a held run; two entries may briefly hold runs of the same task.
