runs: The lease of a run that is to be stopped ends before callers resubmit

Cause: a run's lease was renewed while its worker left the stops unanswered and did not execute them. If the caller had left, it could submit the job again 1,300 ms later while the run went on.

Change: the time since which a run is to be stopped bounds its lease like the last contact with its entry.

Result: TestLeaseOfRunToBeStoppedEndsBeforeCallersResubmit fails before (a lease until 2,500 in place of 1,709) and passes. Price: if no stop is executed for 1.2 s, the leases of the worker's other runs end as well.

--- a/internal/runs/leases.go
+++ b/internal/runs/leases.go
@@ -32,17 +32,27 @@
 
 // LeaseEnd returns the end of a lease of at most leaseMS that begins now. It is cut short so that,
 // even if this process ends now, the runs of an entry that is gone end before its callers submit
-// their jobs again. A lease applies to all runs on the worker.
+// their jobs again, and so do runs whose stop the worker does not execute. A lease applies to all
+// runs on the worker.
 func (s *Supervisor) LeaseEnd(now, leaseMS clock.Millis) clock.Millis {
 	until := now + leaseMS
 	for _, run := range s.runs {
 		if run.Status != Queued {
-			until = min(until, s.contactOf(run)+s.ContactLeaseMS)
+			until = min(until, s.neededUntil(run)+s.ContactLeaseMS)
 		}
 	}
 	return until
 }
 
+// neededUntil returns the last time at which an entry is known to have needed a run: callers that
+// get no answer submit their jobs again from then on.
+func (s *Supervisor) neededUntil(run *Run) clock.Millis {
+	if run.Stopping {
+		return min(s.contactOf(run), run.StopRequestedAt)
+	}
+	return s.contactOf(run)
+}
+
 // stopDue returns when a run is to be stopped for lack of contact with its entry.
 func (s *Supervisor) stopDue(run *Run) clock.Millis {
 	return s.contactOf(run) + s.ContactLeaseMS - stopReserveMS
--- a/internal/runs/leases_test.go
+++ b/internal/runs/leases_test.go
@@ -27,6 +27,20 @@
 	require.Equal(t, 900+due, s.NextContactDue(10*clock.Second))
 }
 
+// Guards against a second run of a task: its caller left, the worker did not execute the stops,
+// and the lease was renewed until after the job was submitted again.
+func TestLeaseOfRunToBeStoppedEndsBeforeCallersResubmit(t *testing.T) {
+	s := newSupervisor()
+	s.RecordContact(entryA, 0)
+	s.Launch([]Run{newRun(entryA, "j", 0, 1)}, 0)
+	answerStart(s, ref("j", 0), entryA, StartOK, 10)
+	s.StopTasks(entryA, "j", nil, 500)
+	s.RecordContact(entryA, 1500)
+	require.Equal(t, 500+contactLeaseMS, s.LeaseEnd(1500, lease))
+	s.HandlePoll(PollResult{ClockMS: 1600, SentAt: 1550, Epoch: 1, Ended: []EndedRun{{ref("j", 0), 1, jobs.OutcomeStopped}}}, 1600)
+	require.Equal(t, 1600+lease, s.LeaseEnd(1600, lease))
+}
+
 // Guards against a start for an entry that is gone: a launch may have waited in the network or in
 // this process until its caller has submitted the job again elsewhere.
 func TestLaunchOfSilentEntryIsReturnedAsNotRun(t *testing.T) {
--- a/internal/runs/run.go
+++ b/internal/runs/run.go
@@ -73,6 +73,8 @@
 	// Stopping is set once the run is to be stopped, and stays set until it has ended. A
 	// queued run is returned to its entry instead.
 	Stopping bool
+	// StopRequestedAt is when Stopping was set.
+	StopRequestedAt clock.Millis
 	// StopSentAt is when a stop was last sent to the worker, StopAckedAt when the worker
 	// first acknowledged one. A run that the worker does not have by then will never start.
 	StopSentAt  clock.Millis
--- a/internal/runs/starts.go
+++ b/internal/runs/starts.go
@@ -153,7 +153,7 @@
 			s.sendStart(run, now)
 			return
 		}
-		s.markUnknown(run)
+		s.markUnknown(run, now)
 	default:
 		if outcome == StartUnhealthy {
 			s.recordFailure(ref.Job, now)
@@ -163,7 +163,7 @@
 			break
 		}
 		// The worker may have executed an earlier, unanswered start or may still do so.
-		s.markUnknown(run)
+		s.markUnknown(run, now)
 	}
 	if run.Stopping && run.Status > Starting {
 		s.sendStop(run, now)
@@ -173,7 +173,9 @@
 
 // markUnknown marks a run that the worker may or may not have as Unknown and to be stopped:
 // the expiry of the lease would resolve its state as well, but a stop does so sooner.
-func (s *Supervisor) markUnknown(run *Run) {
+func (s *Supervisor) markUnknown(run *Run, now clock.Millis) {
 	run.Status = Unknown
-	run.Stopping = true
+	if !run.Stopping {
+		run.Stopping, run.StopRequestedAt = true, now
+	}
 }
--- a/internal/runs/supervisor.go
+++ b/internal/runs/supervisor.go
@@ -224,7 +224,7 @@
 	if run.Stopping {
 		return
 	}
-	run.Stopping = true
+	run.Stopping, run.StopRequestedAt = true, now
 	if run.Status == Starting {
 		return // the stop is sent once the start has returned
 	}
