sched, runner: Entries confirm contact at once

Change: an agent sends to entries with runs every 200 ms, by a tick that is due then, and the entry answers at once if it sent nothing for 100 ms. The frames are about as many as before: the answer takes the place of the entry's own keepalive.

--- a/internal/place/events.go
+++ b/internal/place/events.go
@@ -364,6 +364,18 @@
 	return agents
 }
 
+// HoldsRuns reports whether an agent that can be reached may hold runs of this entry.
+func (s *Scheduler) HoldsRuns(agent string) bool {
+	for _, j := range s.Jobs {
+		for _, t := range j.Tasks {
+			if t.State == TaskSent && t.Agent == agent {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // WorkerID returns the id of an agent's worker for logs, or "" if it is not known.
 func (s *Scheduler) WorkerID(agent string) string {
 	if w := s.Workers[agent]; w != nil {
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -88,6 +88,8 @@
 	// on the link show it that the entry is alive.
 	KeepaliveMS   clock.Millis = 250
 	LinkTimeoutMS clock.Millis = 650
+	// contactIntervalMS is the interval of the keepalives to entries that have runs here.
+	contactIntervalMS clock.Millis = 200
 
 	// MaxLinks is the number of entries that an agent links to. It is enough to spread uneven
 	// load of the entries over all workers; each link costs processor time on both ends.
@@ -379,7 +381,7 @@
 	if a.supervisor.NeedsFrequentTicks() || a.drainDeadline > 0 || a.supervisor.Unreachable {
 		due = now + clock.FromDuration(busyInterval)
 	}
-	due = max(a.supervisor.NextContactDue(due), now+minTickMS)
+	due = max(a.nextKeepalive(now, a.supervisor.NextContactDue(due)), now+minTickMS)
 	if a.supervisor.Changed {
 		due = min(due, max(a.capacityReportedAt+a.reportInterval(), now+minTickMS))
 	}
--- a/internal/sched/links.go
+++ b/internal/sched/links.go
@@ -155,6 +155,7 @@
 			return
 		}
 		e.scheduler.UpdateWorker(report, now)
+		e.confirmContact(incarnation, l)
 	case *wire.Frame_Ends:
 		e.onRunEnds(incarnation, b.Ends.GetEnds(), now)
 	}
@@ -179,6 +180,16 @@
 		held[link.DecodeTaskRef(h.GetJob(), h.GetStep(), h.GetIndex())] = h.GetRun()
 	}
 	e.scheduler.AgentConnected(incarnation, held, now)
+	e.confirmContact(incarnation, l)
+}
+
+// confirmContact answers a frame of an agent that holds runs, unless something was sent on the
+// link a moment ago: the agent renews the leases of this entry's runs only while frames from this
+// entry echo recent ones of its own.
+func (e *Entry) confirmContact(agent string, l *link.Link) {
+	if time.Since(l.LastSentAt) >= minConfirmMS.Duration() && e.scheduler.HoldsRuns(agent) {
+		l.Send(&wire.Frame{Body: &wire.Frame_Pulse{Pulse: &wire.Pulse{}}})
+	}
 }
 
 // onRunEnds decodes the ends of runs that an agent reports and passes them to the scheduler.
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -97,6 +97,9 @@
 	// agentKeepaliveMS is how long the entry may send nothing to an agent that holds runs
 	// of this entry.
 	agentKeepaliveMS clock.Millis = 200
+	// minConfirmMS is the shortest interval at which the entry answers an agent's frames only to
+	// confirm that it is alive.
+	minConfirmMS clock.Millis = 100
 	// termsRequestMS is how long an entry that learns of a newer configuration waits for it
 	// from the store before it requests it from a linked entry, and the interval at which it
 	// repeats the request.
