runner: The worker's clock of an earlier epoch is not used

Cause: the worker's clock starts anew with each epoch; an answer of an earlier one that was handled late set the offset by which leases are computed. Until the next poll leases then ended far later than meant (the worker cuts them to 1,000 ms from their arrival, so that the bound by the last contact did not hold), and late starts were accepted.

Change: only answers of the present epoch set the offset.

--- a/internal/runner/calls.go
+++ b/internal/runner/calls.go
@@ -114,7 +114,9 @@
 
 func (a *Agent) onStartResult(r startResult) {
 	a.activeCalls--
-	a.setClockOffset(r.clockMS)
+	if r.run.Epoch == a.supervisor.Epoch() {
+		a.setClockOffset(r.clockMS)
+	}
 	a.metrics.recordStart(r.outcome)
 	if r.outcome != runs.StartOK {
 		a.log.Info("start not done", "job", string(r.run.Ref.Job), "task", r.run.Ref.Task.String(),
@@ -215,9 +217,11 @@
 	if r.result.MalformedRows > 0 {
 		a.log.Warn("the worker listed runs that are not understood; ignored", "worker", a.supervisor.Worker.ID, "rows", r.result.MalformedRows)
 	}
-	a.setClockOffset(r.result.ClockMS)
 	confirmed, epoch := a.supervisor.Confirmed(), a.supervisor.Epoch()
 	a.supervisor.HandlePoll(r.result, now)
+	if r.result.Epoch == 0 || r.result.Epoch == a.supervisor.Epoch() {
+		a.setClockOffset(r.result.ClockMS)
+	}
 	if a.supervisor.Worker != nil && a.supervisor.Epoch() != epoch {
 		a.log.Info("a poll shows a new life of the worker", "worker", a.supervisor.Worker.ID, "life", a.supervisor.Epoch(),
 			"earlier", epoch, "held", a.supervisor.Held())
@@ -241,7 +245,7 @@
 }
 
 // setClockOffset updates clockOffset from the worker's clock, which may run slower than the
-// agent's. clockMS is zero if the worker did not answer.
+// agent's and starts anew with each epoch. clockMS is zero if the worker did not answer.
 func (a *Agent) setClockOffset(clockMS clock.Millis) {
 	if clockMS > 0 {
 		a.clockOffset, a.clockOffsetKnown = clockMS-a.clock.Now(), true
--- a/internal/runner/overlap_test.go
+++ b/internal/runner/overlap_test.go
@@ -32,6 +32,23 @@
 	}
 }
 
+// Guards against leases that outlive their entry: the worker's clock starts anew with each epoch,
+// and an answer of the earlier one was taken for the present clock.
+func TestClockOfAnEarlierEpochIsNotUsed(t *testing.T) {
+	a := newConfirmedAgent(nil)
+	next := overlapWorker
+	next.Epoch = 2
+	earlier := runs.Run{Ref: jobs.TaskRef{Job: "j"}, Number: 1, Entry: "e", Epoch: 1}
+	a.updateWorker(Announcement{Worker: next, Sequence: 1, ClockMS: 10}, a.clock.Now())
+	offset := a.clockOffset
+	a.activeCalls++
+	a.onStartResult(startResult{run: earlier, outcome: runs.StartOK, clockMS: 500_000})
+	require.InDelta(t, int64(offset), int64(a.clockOffset), 100, "an answered start")
+	a.activeCalls++
+	a.onPollResult(pollResult{result: runs.PollResult{ClockMS: 500_000, Epoch: 1, SentEpoch: 1}})
+	require.InDelta(t, int64(offset), int64(a.clockOffset), 100, "an answered poll")
+}
+
 // startRecorder records the starts that are sent, with their leases.
 type startRecorder struct {
 	answeringWorker
