runs: A run that is held is not listed as ended

Cause: run numbers start at 1 for each submission. A job that was submitted again at the same entry could get a run with the number of one that had ended here in the last 5 s; with the next link the inventory listed it as held and, by the earlier end, as over. The entry started the task elsewhere, and nobody stopped the run.

Change: ends with the number of a held run are left out of the inventory.

--- /dev/null
+++ b/internal/runs/overlap_test.go
@@ -0,0 +1,28 @@
+package runs
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/turmericbarrow/turmericbarrow/internal/jobs"
+)
+
+// Guards against a second run on another worker: a job was submitted again at the same entry, its
+// run got the number of one that had been returned, and with the next link the agent listed the
+// run as held and as not run.
+func TestRunThatIsHeldIsNotListedAsEnded(t *testing.T) {
+	s := newSupervisor()
+	s.Launch([]Run{newRun(entryB, "b", 0, 0), newRun(entryB, "b", 1, 0), newRun(entryA, "a", 0, 1)}, 0)
+	s.Tick(maxQueuedMS + 1)
+	require.Contains(t, takeEnds(s), RunEnd{Ref: ref("a", 0), Number: 1, Outcome: jobs.OutcomeNotRun})
+	s.HandlePoll(PollResult{ClockMS: 100, SentAt: 90, SentEpoch: 1, Epoch: 1,
+		Ended: []EndedRun{{ref("b", 0), 1, jobs.OutcomeDone}, {ref("b", 1), 1, jobs.OutcomeDone}}}, 100)
+	s.Launch([]Run{newRun(entryA, "a", 0, 1)}, 1400)
+	require.Equal(t, []jobs.TaskRef{ref("a", 0)}, takeStarts(s))
+	answerStart(s, ref("a", 0), entryA, StartOK, 1401)
+	s.EntryDisconnected(entryA, 1500)
+	held, ends := s.EntryConnected(entryA)
+	require.Len(t, held, 1)
+	require.Empty(t, ends)
+}
--- a/internal/runs/supervisor.go
+++ b/internal/runs/supervisor.go
@@ -244,18 +244,25 @@
 }
 
 // EntryConnected records that an entry is linked. It returns all runs held for the entry and
-// the recent ends, which the entry may have missed.
+// the recent ends, which the entry may have missed. Run numbers start again when a job is
+// submitted again, so that an earlier run may have had the number of one that is held.
 func (s *Supervisor) EntryConnected(entry string) ([]Run, []RunEnd) {
 	delete(s.disconnected, entry)
 	var ends []RunEnd
 	for _, e := range s.recentEnds {
-		if e.entry == entry {
+		if e.entry == entry && !s.holds(entry, e.end) {
 			ends = append(ends, e.end)
 		}
 	}
 	return s.RunsOf(entry), ends
 }
 
+// holds reports whether a run with the task and number of an end is held for an entry.
+func (s *Supervisor) holds(entry string, e RunEnd) bool {
+	run := s.runs[runKey{e.Ref, entry}]
+	return run != nil && run.Number == e.Number
+}
+
 // RunsOf returns the runs that are held for an entry.
 func (s *Supervisor) RunsOf(entry string) []Run {
 	var held []Run
