runs: A run is not returned before the longest lease of its starts has expired

Cause: a repeated start may carry a shorter lease than the first one, and its end replaced that of the first one, which the worker might still execute. The run was returned as not run up to some hundred milliseconds too early.

Change: the latest end counts.

--- a/internal/runs/overlap_test.go
+++ b/internal/runs/overlap_test.go
@@ -26,3 +26,21 @@
 	require.Len(t, held, 1)
 	require.Empty(t, ends)
 }
+
+// Guards against a run that starts late: the second start of a run carried a shorter lease than
+// the first one, with which the worker could still start the run after it was returned as not run.
+func TestRunIsNotReturnedBeforeTheLongestLeaseOfItsStartsHasExpired(t *testing.T) {
+	s := newSupervisor()
+	s.Launch([]Run{newRun(entryA, "a", 0, 0)}, 0)
+	takeStarts(s)
+	s.SetLease(ref("a", 0), entryA, 600)
+	s.HandleStartOutcome(ref("a", 0), entryA, 1, StartUnanswered, 20)
+	s.SetLease(ref("a", 0), entryA, 450)
+	s.HandleStartOutcome(ref("a", 0), entryA, 1, StartUnanswered, 60)
+	s.SetLease(ref("a", 0), entryA, 450)
+	s.HandleStartOutcome(ref("a", 0), entryA, 1, StartUnanswered, 140)
+	s.HandlePoll(PollResult{ClockMS: 500, SentAt: 490, SentEpoch: 1, Epoch: 1}, 500)
+	require.Empty(t, takeEnds(s), "the first start may still be executed")
+	s.HandlePoll(PollResult{ClockMS: 601, SentAt: 600, SentEpoch: 1, Epoch: 1}, 601)
+	require.Len(t, takeEnds(s), 1)
+}
--- a/internal/runs/run.go
+++ b/internal/runs/run.go
@@ -81,7 +81,7 @@
 	StopAckedAt clock.Millis
 	QueuedAt    clock.Millis
 	StartedAt   clock.Millis
-	// LeaseUntil is the expiry of the lease of the last start, on the worker's clock.
+	// LeaseUntil is the latest expiry of the leases of the starts, on the worker's clock.
 	LeaseUntil clock.Millis
 	// UnansweredStarts counts the unanswered starts of this run.
 	UnansweredStarts int
--- a/internal/runs/starts.go
+++ b/internal/runs/starts.go
@@ -105,10 +105,11 @@
 }
 
 // SetLease records the end of the lease that the next start of a run carries, on the worker's
-// clock. The agent calls it before it sends the start.
+// clock. The agent calls it before it sends the start. An earlier start, which may still be
+// executed, may have carried a longer one.
 func (s *Supervisor) SetLease(ref jobs.TaskRef, entry string, leaseUntil clock.Millis) {
 	if run := s.runs[runKey{ref, entry}]; run != nil {
-		run.LeaseUntil = leaseUntil
+		run.LeaseUntil = max(run.LeaseUntil, leaseUntil)
 	}
 }
 
