runs: Runs of an unreachable worker are not lost before the leases that a start renewed

Cause: the time at which the leases of a silent worker have expired counted from the last poll that renewed them. A start, repeated ones included, renews the leases of all runs as well, so that a run could be reported as lost, and started elsewhere, some tens of milliseconds before its lease expired.

--- a/internal/runs/overlap_test.go
+++ b/internal/runs/overlap_test.go
@@ -5,6 +5,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/turmericbarrow/turmericbarrow/internal/clock"
 	"github.com/turmericbarrow/turmericbarrow/internal/jobs"
 )
 
@@ -44,3 +45,31 @@
 	s.HandlePoll(PollResult{ClockMS: 601, SentAt: 600, SentEpoch: 1, Epoch: 1}, 601)
 	require.Len(t, takeEnds(s), 1)
 }
+
+// Guards against two runs at once: the loss of an unreachable worker's runs was counted from the
+// last poll that renewed the leases, although a repeated start had renewed them later.
+func TestRunsOfUnreachableWorkerAreNotLostBeforeALeaseThatAStartRenewed(t *testing.T) {
+	s := newSupervisor()
+	s.Launch([]Run{newRun(entryA, "a", 0, 0)}, 0)
+	takeStarts(s)
+	answerStart(s, ref("a", 0), entryA, StartOK, 1)
+	for _, poll := range []struct{ sentAt, failedAt clock.Millis }{{2, 122}, {122, 182}, {202, 302}, {362, 482}, {562, 682}} {
+		require.True(t, s.RenewLeases(poll.sentAt))
+		if poll.failedAt == 682 {
+			s.Launch([]Run{newRun(entryB, "b", 0, 0)}, 681)
+			require.Len(t, takeStarts(s), 1)
+		}
+		s.HandlePollFailure(lease, poll.failedAt)
+	}
+	require.True(t, s.Unreachable)
+	leasedUntil := 681 + StartLeaseMS
+	// The agent is paused for 380 ms before it handles the first result, which goes undetected.
+	for _, failedAt := range []clock.Millis{1081, 1121} {
+		s.HandleStartOutcome(ref("b", 0), entryB, 1, StartUnanswered, failedAt)
+		if len(takeStarts(s)) > 0 {
+			leasedUntil = failedAt + StartLeaseMS
+		}
+	}
+	s.HandlePollFailure(lease, leasedUntil-1)
+	require.Empty(t, takeEnds(s), "the repeated start has renewed the lease of every run")
+}
--- a/internal/runs/polls.go
+++ b/internal/runs/polls.go
@@ -170,18 +170,23 @@
 		s.NotifyNow = true
 		s.returnQueued(now)
 	}
-	leaseExpiry := s.renewedAt + clock.Millis(float64(leaseMS)*maxClockDrift) + expiryMarginMS
-	if now <= leaseExpiry {
+	// A start renews the leases of all runs.
+	if now <= max(s.renewedAt+expiryMS(leaseMS), s.startSentAt+expiryMS(StartLeaseMS)) {
 		return
 	}
 	for _, run := range s.sortedRuns() {
 		// A run that started after the last renewal gets the same time, counted from its start.
-		if run.Status != Queued && run.Status != Starting && now > run.StartedAt+leaseExpiry-s.renewedAt {
+		if run.Status != Queued && run.Status != Starting && now > run.StartedAt+expiryMS(leaseMS) {
 			s.lose(run, LossLeaseExpired, true, now)
 		}
 	}
 }
 
+// expiryMS returns the time after which a lease has expired by any worker's clock.
+func expiryMS(leaseMS clock.Millis) clock.Millis {
+	return clock.Millis(float64(leaseMS)*maxClockDrift) + expiryMarginMS
+}
+
 // RenewLeases reports whether a poll sent at now may renew the worker's leases. If so, it
 // records now as the time of the renewal. A renewal applies to everything on the worker.
 func (s *Supervisor) RenewLeases(now clock.Millis) bool {
--- a/internal/runs/starts.go
+++ b/internal/runs/starts.go
@@ -100,6 +100,7 @@
 
 func (s *Supervisor) sendStart(run *Run, now clock.Millis) {
 	run.StartedAt = now
+	s.startSentAt = now
 	run.Epoch = s.Worker.Epoch
 	s.actions = append(s.actions, Start{Run: *run})
 }
--- a/internal/runs/supervisor.go
+++ b/internal/runs/supervisor.go
@@ -71,6 +71,8 @@
 	firstFailedPollAt clock.Millis
 	// renewedAt is when the last poll that renewed the leases was sent.
 	renewedAt clock.Millis
+	// startSentAt is when the last start was sent.
+	startSentAt clock.Millis
 	// lastPollAt is when the last poll was answered.
 	lastPollAt clock.Millis
 	// unansweredAt is when a start or poll last went unanswered; zero if none did.
