runs: Rows that are not understood resolve no run of an earlier epoch

Cause: after a worker had started anew, a run that the first poll did not list counted as lost at once, also if that poll had rows that could not be decoded, one of which may be that of the run.

--- a/internal/runs/epochs.go
+++ b/internal/runs/epochs.go
@@ -121,9 +121,16 @@
 
 // resolveEarlierEpoch ends an unlisted run of an earlier epoch if the poll carried the present
 // one: the worker does not have the run and will not execute a late start of it. Until then the
-// worker may still accept the start, although it has started anew.
+// worker may still accept the start, although it has started anew. A row that could not be decoded
+// may be that of the run, so that it then has to be missing for lostAfterMS.
 func (s *Supervisor) resolveEarlierEpoch(p PollResult, run *Run, now clock.Millis) {
-	if p.SentEpoch == s.Worker.Epoch {
+	if p.SentEpoch != s.Worker.Epoch {
+		return
+	}
+	if run.MissingSince == 0 {
+		run.MissingSince = now
+	}
+	if p.MalformedRows == 0 || now-run.MissingSince > lostAfterMS {
 		s.lose(run, LossNewEpoch, false, now)
 	}
 }
--- a/internal/runs/overlap_test.go
+++ b/internal/runs/overlap_test.go
@@ -73,3 +73,17 @@
 	s.HandlePollFailure(lease, leasedUntil-1)
 	require.Empty(t, takeEnds(s), "the repeated start has renewed the lease of every run")
 }
+
+// Guards against a second run on another worker: a run in a row that was not understood counted
+// as missing, and was reported as lost at once.
+func TestMalformedRowsResolveNoRun(t *testing.T) {
+	s := newSupervisor()
+	s.Launch([]Run{newRun(entryA, "a", 0, 0)}, 0)
+	takeStarts(s)
+	answerStart(s, ref("a", 0), entryA, StartOK, 1)
+	next := *s.Worker
+	next.Epoch = 2
+	s.Announce(next, 10)
+	s.HandlePoll(PollResult{ClockMS: 12, SentAt: 11, SentEpoch: 2, Epoch: 2, MalformedRows: 1}, 13)
+	require.Empty(t, takeEnds(s), "the row may be that of the run")
+}
