runs: Start no queued run of a disconnected entry

Cause: a run that was queued when the link to its entry was lost could still be started within the 50 ms of grace, for an entry that may be gone.

--- a/internal/runs/overlap_test.go
+++ b/internal/runs/overlap_test.go
@@ -87,3 +87,14 @@
 	s.HandlePoll(PollResult{ClockMS: 12, SentAt: 11, SentEpoch: 2, Epoch: 2, MalformedRows: 1}, 13)
 	require.Empty(t, takeEnds(s), "the row may be that of the run")
 }
+
+// Guards against two runs at once: a start of a run whose entry is disconnected. The entry may be
+// gone and its callers about to resubmit.
+func TestQueuedRunOfDisconnectedEntryIsNotStarted(t *testing.T) {
+	s := newSupervisor()
+	s.Launch([]Run{newRun(entryB, "b", 0, 0), newRun(entryB, "b", 1, 0), newRun(entryA, "a", 0, 1)}, 0)
+	require.Len(t, takeStarts(s), 2)
+	s.EntryDisconnected(entryA, 1)
+	s.HandleStartOutcome(ref("b", 0), entryB, 1, StartNoCapacity, 2)
+	require.Empty(t, takeStarts(s))
+}
--- a/internal/runs/starts.go
+++ b/internal/runs/starts.go
@@ -79,7 +79,7 @@
 		if !run.Size.FitsIn(free) {
 			return
 		}
-		if s.earlierRunAtWorker(run) || now >= s.stopDue(run) {
+		if s.earlierRunAtWorker(run) || s.mayBeGone(run, now) {
 			continue
 		}
 		free = free.Minus(run.Size)
@@ -88,6 +88,13 @@
 	}
 }
 
+// mayBeGone reports whether the entry of a run is disconnected or silent. Its callers may be about
+// to resubmit.
+func (s *Supervisor) mayBeGone(run *Run, now clock.Millis) bool {
+	_, disconnected := s.disconnected[run.Entry]
+	return disconnected || now >= s.stopDue(run)
+}
+
 // earlierRunAtWorker reports whether the worker may still have another run of the task.
 func (s *Supervisor) earlierRunAtWorker(run *Run) bool {
 	for k, o := range s.runs {
