runs: Do not return a resubmitted task while its earlier run is at work

Cause: a caller had submitted its job again through another entry; the new run waited for the end of the earlier one on the same worker, was returned as not run after 5 ms, and its entry started it on another worker while the earlier one was being stopped.

Change: it is kept until the earlier run has ended.

The earlier run holds a lease that ends, so that the wait is bounded.

--- a/internal/runs/overlap_test.go
+++ b/internal/runs/overlap_test.go
@@ -98,3 +98,18 @@
 	s.HandleStartOutcome(ref("b", 0), entryB, 1, StartNoCapacity, 2)
 	require.Empty(t, takeStarts(s))
 }
+
+// Guards against a second run on another worker: the caller had resubmitted its job, and the new
+// run was returned as not run while the earlier one was still at work on this worker.
+func TestResubmittedTaskIsNotReturnedWhileEarlierRunIsAtWork(t *testing.T) {
+	s := newSupervisor()
+	s.Launch([]Run{newRun(entryA, "a", 0, 0)}, 0)
+	takeStarts(s)
+	answerStart(s, ref("a", 0), entryA, StartOK, 1)
+	s.Launch([]Run{newRun(entryB, "a", 0, 0)}, 10)
+	require.Equal(t, []jobs.TaskRef{ref("a", 0)}, takeStops(s))
+	for now := clock.Millis(10); now < 50; now += 5 {
+		s.Tick(now)
+	}
+	require.Empty(t, takeEnds(s), "the worker has not ended the earlier run yet")
+}
--- a/internal/runs/starts.go
+++ b/internal/runs/starts.go
@@ -95,7 +95,8 @@
 	return disconnected || now >= s.stopDue(run)
 }
 
-// earlierRunAtWorker reports whether the worker may still have another run of the task.
+// earlierRunAtWorker reports whether the worker may still have another run of the task. The run
+// then waits, since its entry would start the task elsewhere if it were returned.
 func (s *Supervisor) earlierRunAtWorker(run *Run) bool {
 	for k, o := range s.runs {
 		if k.ref == run.Ref && o != run && o.Status != Queued {
