place: A run whose claim was lost is not retried before it is resolved

Cause: once an entry had claimed a run of a restarted agent it treated the run like one that it had sent itself. If the claim was lost with its link, the agent no longer listed the run after the claim window, and the entry started the task elsewhere while the run was still to be stopped.

Change: the task keeps the mark that an earlier agent process started its run. Such a run is claimed again while it is listed, and otherwise counts as lost 1,500 ms after the loss of the link, when its lease has expired.

--- a/internal/place/events.go
+++ b/internal/place/events.go
@@ -97,7 +97,7 @@
 	l.Tasks = []LaunchTask{{ID: t.ID, Run: t.Run}}
 	l.Claim = true
 	w.unacked = append(w.unacked, unackedTask{launch: l.Number, size: l.Size})
-	t.State, t.AgentReplaced = TaskSent, false
+	t.State = TaskSent
 	s.actions = append(s.actions, *l)
 }
 
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -147,8 +147,8 @@
 	PredictedRunMS clock.Millis
 	// ResolvesAt is when a run in the state TaskUnknown has certainly ended.
 	ResolvesAt clock.Millis
-	// AgentReplaced is set once a new process has replaced the agent. The new process
-	// may find that the worker still executes the run.
+	// AgentReplaced is set once a new process has replaced the agent that started the run, until
+	// the run has ended. The new process may find that the worker still executes the run.
 	AgentReplaced bool
 	// Stopping is set once the agent has been sent a stop for the run.
 	Stopping bool
