place, runner: Stop the runs that an entry has given up

Cause: an agent that linked again held a run that its entry had taken for lost and had started elsewhere. The entry ignored it, and the agent went on with it, to its end.

Change: the entry stops the held runs that are not current. Runs of an earlier agent process that no entry has claimed are marked in the inventory, since every entry is told of them. One order of tasks (jobs.CompareRefs) takes the place of two.

The tests that call AgentConnected name the two lists now; what they ask is unchanged.

--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -3,6 +3,7 @@
 package jobs
 
 import (
+	"cmp"
 	"fmt"
 
 	"github.com/turmericbarrow/turmericbarrow/internal/clock"
@@ -61,6 +62,11 @@
 	Task TaskID
 }
 
+// CompareRefs orders tasks by job, step and index.
+func CompareRefs(a, b TaskRef) int {
+	return cmp.Or(cmp.Compare(a.Job, b.Job), cmp.Compare(a.Task.Step, b.Task.Step), cmp.Compare(a.Task.Index, b.Task.Index))
+}
+
 // Step is a group of identical tasks of a job.
 type Step struct {
 	// Count is at least one.
--- a/internal/place/events.go
+++ b/internal/place/events.go
@@ -1,6 +1,9 @@
 package place
 
 import (
+	"maps"
+	"slices"
+
 	"github.com/turmericbarrow/turmericbarrow/internal/clock"
 	"github.com/turmericbarrow/turmericbarrow/internal/jobs"
 )
@@ -101,33 +104,22 @@
 	s.actions = append(s.actions, *l)
 }
 
-// AgentConnected handles the list of runs that an agent holds for this entry, sent over
-// a new link. heldRuns holds the number of each run by its task. A run that is missing
-// from it never reached the agent, unless it was sent to an earlier agent process of
-// that worker.
-func (s *Scheduler) AgentConnected(agent string, heldRuns map[jobs.TaskRef]int64, now clock.Millis) {
+// AgentConnected handles the lists of runs that an agent sent over a new link: those that it
+// holds for this entry, and those of an earlier agent process that no entry has claimed. Both hold
+// the number of each run by its task. A run that is missing from them never reached the agent,
+// unless it was sent to an earlier agent process of that worker.
+func (s *Scheduler) AgentConnected(agent string, held, unclaimed map[jobs.TaskRef]int64, now clock.Millis) {
 	if w := s.Workers[agent]; w != nil {
 		w.DisconnectedAt = 0
 		w.unacked = nil
 	}
+	s.stopGivenUp(agent, held)
 	for _, j := range s.sortedJobs() {
 		for _, t := range j.Tasks {
-			if t.Agent != agent || (t.State != TaskUnknown && t.State != TaskSent) {
-				continue
-			}
-			holds := heldRuns[jobs.TaskRef{Job: j.Spec.ID, Task: t.ID}] == t.Run
-			if t.AgentReplaced {
-				if holds && !j.Answered {
-					s.claim(j, t, agent)
-				}
-				continue // a run that isn't claimed is lost at ResolvesAt
-			}
-			if holds {
-				t.State = TaskSent
-				t.Stopping = false
-				continue
+			if t.isRunOf(agent) {
+				ref := jobs.TaskRef{Job: j.Spec.ID, Task: t.ID}
+				s.reconcile(j, t, held[ref] == t.Run || unclaimed[ref] == t.Run, now)
 			}
-			s.resolve(j, t, jobs.OutcomeNotRun, ResolvedByInventory, now)
 		}
 		if j.Answered {
 			s.resendStops(j, agent)
@@ -136,6 +128,49 @@
 	s.schedule(now)
 }
 
+// isRunOf reports whether an agent may have the current run of t.
+func (t *Task) isRunOf(agent string) bool {
+	return t.Agent == agent && (t.State == TaskUnknown || t.State == TaskSent)
+}
+
+// reconcile updates a run of an agent that has connected, which lists the run or does not.
+func (s *Scheduler) reconcile(j *Job, t *Task, listed bool, now clock.Millis) {
+	switch {
+	case t.AgentReplaced && listed && !j.Answered:
+		s.claim(j, t, t.Agent)
+	case t.AgentReplaced: // a run that isn't claimed is lost at ResolvesAt
+	case listed:
+		t.State = TaskSent
+		t.Stopping = false
+	default:
+		s.resolve(j, t, jobs.OutcomeNotRun, ResolvedByInventory, now)
+	}
+}
+
+// stopGivenUp stops the runs that an agent holds for this entry and that are not current: while
+// the agent was not linked they were taken for lost, and may have been started elsewhere.
+func (s *Scheduler) stopGivenUp(agent string, held map[jobs.TaskRef]int64) {
+	for _, ref := range slices.SortedFunc(maps.Keys(held), jobs.CompareRefs) {
+		if !s.isCurrent(agent, ref, held[ref]) {
+			s.actions = append(s.actions, Stop{Agent: agent, Job: ref.Job, Tasks: []jobs.TaskID{ref.Task}})
+		}
+	}
+}
+
+// isCurrent reports whether a run at an agent is the current one of its task.
+func (s *Scheduler) isCurrent(agent string, ref jobs.TaskRef, run int64) bool {
+	j := s.Jobs[ref.Job]
+	if j == nil {
+		return false
+	}
+	for _, t := range j.Tasks {
+		if t.ID == ref.Task {
+			return t.Run == run && t.isRunOf(agent)
+		}
+	}
+	return false
+}
+
 // resendStops repeats the stops of an answered job at an agent, since they may have been
 // lost with the old link.
 func (s *Scheduler) resendStops(j *Job, agent string) {
--- a/internal/place/overlap_test.go
+++ b/internal/place/overlap_test.go
@@ -23,11 +23,25 @@
 	s, l := launchOnHost(t)
 	addSecondWorker(s, 490)
 	s.ReplaceOldAgents("new", "h", 500)
-	s.AgentConnected("new", map[jobs.TaskRef]int64{taskRef(l, 0): l.Tasks[0].Run}, 500)
+	s.AgentConnected("new", nil, map[jobs.TaskRef]int64{taskRef(l, 0): l.Tasks[0].Run}, 500)
 	require.Len(t, takeLaunches(s), 1, "the claim")
 	s.AgentDisconnected("new", 600)
-	s.AgentConnected("new", nil, 800)
+	s.AgentConnected("new", nil, nil, 800)
 	require.Empty(t, takeLaunches(s), "the run may be at work until the lease of the earlier agent has expired")
 	s.Tick(500 + maxUnknownMS - 1)
 	require.Empty(t, takeLaunches(s))
 }
+
+// Guards against two runs at once: an agent linked again with a run that the entry had given up
+// and sent elsewhere, and nobody stopped it.
+func TestRunThatTheEntryHasGivenUpIsStoppedWhenItsAgentIsLinkedAgain(t *testing.T) {
+	s, l := launchOnHost(t)
+	addSecondWorker(s, 90)
+	s.AgentDisconnected("old", 100)
+	s.Tick(101 + maxUnknownMS)
+	again := takeLaunches(s)
+	require.Len(t, again, 1)
+	require.Equal(t, "other", again[0].Agent)
+	s.AgentConnected("old", map[jobs.TaskRef]int64{taskRef(l, 0): l.Tasks[0].Run}, nil, 110+maxUnknownMS)
+	require.Contains(t, s.TakeActions(), Action(Stop{Agent: "old", Job: l.Job, Tasks: []jobs.TaskID{l.Tasks[0].ID}}))
+}
--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -163,7 +163,7 @@
 	takeLaunches(s)
 	s.AgentDisconnected("a", 100)
 	held := map[jobs.TaskRef]int64{{Job: "held", Task: jobs.TaskID{}}: 1}
-	s.AgentConnected("a", held, 200)
+	s.AgentConnected("a", held, nil, 200)
 	s.UpdateWorker(Report{Worker: newWorker("a", 16, 1)}, 200)
 	ls := takeLaunches(s)
 	require.Len(t, ls, 1)
@@ -339,7 +339,7 @@
 	s, l := launchOnHost(t)
 	s.ReplaceOldAgents("new", "h", 500)
 	s.RunEnded("new", taskRef(l, 1), l.Tasks[1].Run, jobs.OutcomeDone, 0, 500)
-	s.AgentConnected("new", map[jobs.TaskRef]int64{taskRef(l, 0): l.Tasks[0].Run}, 500)
+	s.AgentConnected("new", nil, map[jobs.TaskRef]int64{taskRef(l, 0): l.Tasks[0].Run}, 500)
 	claims := takeLaunches(s)
 	require.Len(t, claims, 1)
 	require.Equal(t, "new", claims[0].Agent)
@@ -352,7 +352,7 @@
 func TestRunsNotFoundByTheReplacementAgentAreRetriedOnceResolved(t *testing.T) {
 	s, _ := launchOnHost(t)
 	s.ReplaceOldAgents("new", "h", 500)
-	s.AgentConnected("new", nil, 500)
+	s.AgentConnected("new", nil, nil, 500)
 	w := newWorker("new", 4, 1)
 	w.Host = "h"
 	s.UpdateWorker(Report{Worker: w}, 510)
--- a/internal/runner/frames.go
+++ b/internal/runner/frames.go
@@ -86,10 +86,11 @@
 	m := &wire.Inventory{Ends: encodeEnds(ends)}
 	for _, r := range held {
 		m.Held = append(m.Held, &wire.HeldTask{
-			Job:   string(r.Ref.Job),
-			Step:  int32(r.Ref.Task.Step),
-			Index: int32(r.Ref.Task.Index),
-			Run:   r.Number,
+			Job:       string(r.Ref.Job),
+			Step:      int32(r.Ref.Task.Step),
+			Index:     int32(r.Ref.Task.Index),
+			Run:       r.Number,
+			Unclaimed: r.Entry == "",
 		})
 	}
 	return &wire.Frame{Body: &wire.Frame_Inventory{Inventory: m}}
--- a/internal/runs/orphans.go
+++ b/internal/runs/orphans.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"maps"
 	"slices"
-	"sort"
 
 	"github.com/turmericbarrow/turmericbarrow/internal/clock"
 	"github.com/turmericbarrow/turmericbarrow/internal/jobs"
@@ -103,8 +102,8 @@
 			running = append(running, id)
 		}
 	}
-	sort.Slice(running, func(i, j int) bool { return refBefore(running[i].Ref, running[j].Ref) })
-	sort.Slice(ended, func(i, j int) bool { return refBefore(ended[i].Ref, ended[j].Ref) })
+	slices.SortFunc(running, compareRunIDs)
+	slices.SortFunc(ended, func(a, b EndedRun) int { return jobs.CompareRefs(a.Ref, b.Ref) })
 	return running, ended
 }
 
@@ -160,13 +159,7 @@
 }
 
 func compareRunIDs(a, b RunID) int {
-	if refBefore(a.Ref, b.Ref) {
-		return -1
-	}
-	if refBefore(b.Ref, a.Ref) {
-		return 1
-	}
-	return cmp.Compare(a.Number, b.Number)
+	return cmp.Or(jobs.CompareRefs(a.Ref, b.Ref), cmp.Compare(a.Number, b.Number))
 }
 
 // HasRunningOrphans reports whether any orphaned run that no entry claimed in time has not ended.
--- a/internal/runs/supervisor.go
+++ b/internal/runs/supervisor.go
@@ -411,21 +411,11 @@
 		return a.LatestStart < b.LatestStart
 	}
 	if a.Ref != b.Ref {
-		return refBefore(a.Ref, b.Ref)
+		return jobs.CompareRefs(a.Ref, b.Ref) < 0
 	}
 	return a.Entry < b.Entry
 }
 
-func refBefore(a, b jobs.TaskRef) bool {
-	if a.Job != b.Job {
-		return a.Job < b.Job
-	}
-	if a.Task.Step != b.Task.Step {
-		return a.Task.Step < b.Task.Step
-	}
-	return a.Task.Index < b.Task.Index
-}
-
 // sortedRuns returns all runs in a fixed order, so that replays are deterministic.
 func (s *Supervisor) sortedRuns() []*Run {
 	runs := make([]*Run, 0, len(s.runs))
--- a/internal/sched/links.go
+++ b/internal/sched/links.go
@@ -175,11 +175,16 @@
 	}
 	e.scheduler.ReplaceOldAgents(incarnation, l.Peer.Name, now)
 	e.onRunEnds(incarnation, m.GetEnds(), now)
-	held := map[jobs.TaskRef]int64{}
+	held, unclaimed := map[jobs.TaskRef]int64{}, map[jobs.TaskRef]int64{}
 	for _, h := range m.GetHeld() {
-		held[link.DecodeTaskRef(h.GetJob(), h.GetStep(), h.GetIndex())] = h.GetRun()
+		ref := link.DecodeTaskRef(h.GetJob(), h.GetStep(), h.GetIndex())
+		if h.GetUnclaimed() {
+			unclaimed[ref] = h.GetRun()
+		} else {
+			held[ref] = h.GetRun()
+		}
 	}
-	e.scheduler.AgentConnected(incarnation, held, now)
+	e.scheduler.AgentConnected(incarnation, held, unclaimed, now)
 	e.confirmContact(incarnation, l)
 }
 
