platform: A request starts nothing once its caller has left

Cause: a request may be read late, on a busy host or after a freeze, when its caller has already left and submitted the job elsewhere. The HTTP library notices the end of the connection only when a goroutine of its own gets to read it; until then the tasks were started, and stopped some milliseconds later, beside those of the second submission.

Change: before a job is passed to the entry, the state of its connection in the kernel is looked up; a caller that has closed or reset it is not served (one system call a job).

--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -77,6 +77,7 @@
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ErrorLog:          slog.NewLogLogger(s.log.Handler(), slog.LevelDebug),
+		ConnContext:       withConn,
 	}
 	serveErr := make(chan error, 1)
 	go func() { serveErr <- hs.Serve(s.socket) }()
