sched: A submission that waited too long is not placed

One that had waited in a busy process, or over a pause, was placed after its caller had left and submitted the job elsewhere; one that waited over a pause was placed as soon as an agent had linked again.

A submission is refused (not run) if its deadline has passed or the process was paused since, and dropped if its caller has left. A job that the entry holds already is answered as before.

--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -243,6 +243,9 @@
 	ReasonWorkerLost  Reason = "worker_lost"
 	ReasonMaxAttempts Reason = "attempts"
 	ReasonCallerGone  Reason = "caller_gone"
+	// ReasonPaused means that this entry was paused between the arrival of the job and its
+	// admission.
+	ReasonPaused Reason = "paused"
 )
 
 // Action is an instruction from the scheduler to the entry: a Launch, Stop, Answer or Resolved.
--- a/internal/sched/logs_test.go
+++ b/internal/sched/logs_test.go
@@ -147,7 +147,7 @@
 	r := newTestRequest(id)
 	r.RequestID = request
 	w := &waiter{reply: make(chan Reply, 1)}
-	submit{request: r, waiter: w}.apply(f.entry)
+	submit{request: r, waiter: w, caller: context.Background(), sentAt: f.entry.clock.Now()}.apply(f.entry)
 	f.entry.performActions()
 	return w
 }
--- a/internal/sched/messages.go
+++ b/internal/sched/messages.go
@@ -17,6 +17,10 @@
 type submit struct {
 	request Request
 	waiter  *waiter
+	// caller ends when the caller has left.
+	caller context.Context
+	// sentAt is when the message was sent to the entry's goroutine.
+	sentAt clock.Millis
 }
 
 type callerDisconnected struct {
@@ -44,22 +48,26 @@
 }
 
 func (m submit) apply(e *Entry) {
+	if m.caller.Err() != nil {
+		return // the caller left while the message waited, and may have submitted the job elsewhere
+	}
 	id := m.request.Spec.ID
 	now := e.clock.Now()
-	callerDeadline := clock.Millis(0)
-	if m.request.TimeoutMS > 0 {
-		callerDeadline = now + m.request.TimeoutMS
-	}
 	if len(e.waiters[id]) > 0 {
 		// The same job was submitted again while it is in progress: one answer serves both.
 		e.logResent(m.request, resentWaiting)
 		e.waiters[id] = append(e.waiters[id], m.waiter)
 		return
 	}
+	if reason := m.staleReason(e, now); reason != place.ReasonNone && e.scheduler.Jobs[id] == nil {
+		e.log.Info("job rejected", "job", string(id), "request", m.request.RequestID, "reason", string(reason), "waited_ms", int64(now-m.sentAt))
+		m.waiter.reply <- Reply{Verdict: place.VerdictRefused, Reason: reason, TermsVersion: m.request.TermsVersion, RetryAfter: staleRetryAfter}
+		return
+	}
 	e.waiters[id] = []*waiter{m.waiter}
 	e.requestIDs[id] = m.request.RequestID
 	accepted := e.scheduler.Submit(place.Submission{
-		Spec: m.request.Spec, Queue: m.request.Queue, TermsVersion: m.request.TermsVersion, CallerDeadline: callerDeadline}, now)
+		Spec: m.request.Spec, Queue: m.request.Queue, TermsVersion: m.request.TermsVersion, CallerDeadline: m.callerDeadline()}, now)
 	if !accepted {
 		// An answered submission of this job still has runs that may be executing.
 		e.logResent(m.request, resentEnding)
@@ -69,6 +77,31 @@
 	e.logResent(m.request, resentAnswered)
 }
 
+// staleRetryAfter is the Retry-After of submissions that waited here for too long.
+const staleRetryAfter = clock.Second
+
+// callerDeadline returns when the caller stops waiting, or zero if it waits indefinitely.
+func (m submit) callerDeadline() clock.Millis {
+	if m.request.TimeoutMS == 0 {
+		return 0
+	}
+	return m.sentAt + m.request.TimeoutMS
+}
+
+// staleReason returns why the submission is too old to be placed, or ReasonNone: its caller has
+// stopped waiting, or the process was paused since. The caller may have submitted the job
+// elsewhere.
+func (m submit) staleReason(e *Entry, now clock.Millis) place.Reason {
+	switch deadline := m.callerDeadline(); {
+	case deadline > 0 && now >= deadline:
+		return place.ReasonCallerDeadline
+	case m.sentAt < e.resumedAt:
+		return place.ReasonPaused
+	default:
+		return place.ReasonNone
+	}
+}
+
 func (m callerDisconnected) apply(e *Entry) {
 	remaining := e.waiters[m.id][:0]
 	for _, w := range e.waiters[m.id] {
@@ -158,7 +191,7 @@
 // Submit submits a job and waits for its answer. It returns false if ctx ends first.
 func (e *Entry) Submit(ctx context.Context, r Request) (Reply, bool) {
 	w := &waiter{requestID: r.RequestID, reply: make(chan Reply, 1)}
-	if !e.send(ctx, submit{request: r, waiter: w}) {
+	if !e.send(ctx, submit{request: r, waiter: w, caller: ctx, sentAt: e.clock.Now()}) {
 		return Reply{}, false
 	}
 	select {
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -130,7 +130,7 @@
 	Queue     contr.Queue
 	// TermsVersion is the version of the terms that define Queue.
 	TermsVersion int64
-	// TimeoutMS is how long the caller waits; zero if it waits indefinitely.
+	// TimeoutMS is how much longer the caller waits; zero if it waits indefinitely.
 	TimeoutMS clock.Millis
 }
 
@@ -151,6 +151,9 @@
 	node             *link.Node
 	pause            *clock.PauseDetector
 
+	// resumedAt is the end of the last detected pause of the process.
+	resumedAt clock.Millis
+
 	inbox       chan message
 	newTerms    chan *contr.Terms
 	memberLists chan memberList
@@ -432,6 +435,7 @@
 	if paused == 0 {
 		return
 	}
+	e.resumedAt = e.clock.Now()
 	e.log.Warn("process was paused; abandoning all jobs", "paused_ms", int64(paused), "jobs", len(e.scheduler.Jobs))
 	e.abandonAll("suspended")
 	e.performActions()
