sched, place: Only the present process and link of an agent count

Cause: after another process had replaced an agent, the link of the earlier one stayed in use, and a report that was still on its way brought its worker back; launches to it were lost for up to 1,500 ms. And an inventory that is sent again on a link ended the runs whose launches had not reached the agent yet; today an agent sends one only while it takes no launches.

Change: the links of replaced processes are closed. Only runs in an unknown state are resolved by an inventory that does not list them; those that were sent on the same link are not.

--- a/internal/place/events.go
+++ b/internal/place/events.go
@@ -133,7 +133,8 @@
 	return t.Agent == agent && (t.State == TaskUnknown || t.State == TaskSent)
 }
 
-// reconcile updates a run of an agent that has connected, which lists the run or does not.
+// reconcile updates a run of an agent that has connected, which lists the run or does not. A run
+// in the state TaskSent was sent on this link, on which its launch may still be on the way.
 func (s *Scheduler) reconcile(j *Job, t *Task, listed bool, now clock.Millis) {
 	switch {
 	case t.AgentReplaced && listed && !j.Answered:
@@ -142,7 +143,7 @@
 	case listed:
 		t.State = TaskSent
 		t.Stopping = false
-	default:
+	case t.State == TaskUnknown:
 		s.resolve(j, t, jobs.OutcomeNotRun, ResolvedByInventory, now)
 	}
 }
--- a/internal/sched/links.go
+++ b/internal/sched/links.go
@@ -168,7 +168,9 @@
 	if old := e.agents[incarnation]; old != l {
 		if old != nil {
 			old.Close("replaced by a new link")
+			e.scheduler.AgentDisconnected(incarnation, now)
 		}
+		e.closeLinksOfReplaced(l)
 		e.agents[incarnation] = l
 		e.log.Info("link up", "peer", l.Peer.Name, "role", "agent", "incarnation", incarnation,
 			"earlier", e.earlierAgent(incarnation, l.Peer.Name), "held", len(m.GetHeld()), "ends", len(m.GetEnds()))
@@ -188,6 +190,17 @@
 	e.confirmContact(incarnation, l)
 }
 
+// closeLinksOfReplaced closes the links to earlier processes of an agent: what still arrives from
+// them is out of date.
+func (e *Entry) closeLinksOfReplaced(l *link.Link) {
+	for incarnation, old := range e.agents {
+		if old.Peer.Name == l.Peer.Name && incarnation != l.Peer.Incarnation {
+			old.Close("replaced by a new process")
+			delete(e.agents, incarnation)
+		}
+	}
+}
+
 // confirmContact answers a frame of an agent that holds runs, unless something was sent on the
 // link a moment ago: the agent renews the leases of this entry's runs only while frames from this
 // entry echo recent ones of its own.
