runs, place: A job that its caller has submitted elsewhere is abandoned

Cause: an agent stops a run when another entry requests its task, since the caller has submitted the job again there. It reported the run as stopped, and the first entry, if it lived, started the task again.

Change: such a run ends as superseded, and its entry abandons the job and stops its other runs.

Result: TestJobIsAbandonedOnceAnotherEntryRunsIt and TestRunThatAnotherEntryTakesOverIsReportedAsSuperseded are new; the second asks for an end that did not exist.

--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -111,11 +111,14 @@
 	OutcomeNotRun
 	// OutcomeRefused means the same as OutcomeNotRun, because the worker refused the start.
 	OutcomeRefused
+	// OutcomeSuperseded means that the run was stopped, or never started, because another entry has
+	// requested a run of the task: the caller has submitted the job again there.
+	OutcomeSuperseded
 )
 
 var outcomeNames = map[Outcome]string{
 	OutcomeDone: "done", OutcomeFailed: "failed", OutcomeStopped: "stopped", OutcomeLost: "lost", OutcomeNotRun: "not_run",
-	OutcomeRefused: "refused",
+	OutcomeRefused: "refused", OutcomeSuperseded: "superseded",
 }
 
 // String returns the name used in logs and metrics.
--- a/internal/place/events.go
+++ b/internal/place/events.go
@@ -257,6 +257,10 @@
 		return
 	}
 	switch outcome {
+	case jobs.OutcomeSuperseded:
+		j.HadUnsuccessfulRun = true
+		s.finish(j, VerdictUnknown, ReasonSuperseded, now)
+		return
 	case jobs.OutcomeFailed:
 		t.Failures++
 		t.AvoidAgent = agent
--- a/internal/place/overlap_test.go
+++ b/internal/place/overlap_test.go
@@ -45,3 +45,15 @@
 	s.AgentConnected("old", map[jobs.TaskRef]int64{taskRef(l, 0): l.Tasks[0].Run}, nil, 110+maxUnknownMS)
 	require.Contains(t, s.TakeActions(), Action(Stop{Agent: "old", Job: l.Job, Tasks: []jobs.TaskID{l.Tasks[0].ID}}))
 }
+
+// Guards against two entries that keep starting the tasks of one job: its caller had submitted it
+// again, and the first entry retried the runs that were stopped in favour of the second.
+func TestJobIsAbandonedOnceAnotherEntryRunsIt(t *testing.T) {
+	s, l := launchOnHost(t)
+	addSecondWorker(s, 90)
+	s.RunEnded("old", taskRef(l, 0), l.Tasks[0].Run, jobs.OutcomeSuperseded, 0, 100)
+	actions := s.TakeActions()
+	require.Len(t, actions, 2)
+	require.Equal(t, VerdictUnknown, actions[0].(Answer).Verdict)
+	require.Equal(t, Stop{Agent: "old", Job: l.Job, Tasks: []jobs.TaskID{l.Tasks[1].ID}}, actions[1])
+}
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -243,6 +243,8 @@
 	ReasonWorkerLost  Reason = "worker_lost"
 	ReasonMaxAttempts Reason = "attempts"
 	ReasonCallerGone  Reason = "caller_gone"
+	// ReasonSuperseded means that the caller has submitted the job again through another entry.
+	ReasonSuperseded Reason = "superseded"
 	// ReasonPaused means that this entry was paused between the arrival of the job and its
 	// admission.
 	ReasonPaused Reason = "paused"
--- a/internal/runs/overlap_test.go
+++ b/internal/runs/overlap_test.go
@@ -113,3 +113,14 @@
 	}
 	require.Empty(t, takeEnds(s), "the worker has not ended the earlier run yet")
 }
+
+// Guards against two entries that keep starting the tasks of one job.
+func TestRunThatAnotherEntryTakesOverIsReportedAsSuperseded(t *testing.T) {
+	s := newSupervisor()
+	s.Launch([]Run{newRun(entryA, "a", 0, 0)}, 0)
+	takeStarts(s)
+	answerStart(s, ref("a", 0), entryA, StartOK, 1)
+	s.Launch([]Run{newRun(entryB, "a", 0, 0)}, 10)
+	s.HandlePoll(PollResult{ClockMS: 20, SentAt: 15, Epoch: 1, Ended: []EndedRun{{ref("a", 0), 1, jobs.OutcomeStopped}}}, 20)
+	require.Equal(t, jobs.OutcomeSuperseded, takeEnds(s)[0].Outcome)
+}
--- a/internal/runs/run.go
+++ b/internal/runs/run.go
@@ -88,6 +88,8 @@
 	// MissingSince is when a poll first failed to list the run although the worker had
 	// confirmed it; zero while the run is listed.
 	MissingSince clock.Millis
+	// Superseded is set once another entry has requested a run of the task.
+	Superseded bool
 	// Claimed is set for a run that an earlier agent process started; its start time is
 	// unknown.
 	Claimed bool
--- a/internal/runs/starts.go
+++ b/internal/runs/starts.go
@@ -50,11 +50,12 @@
 	}
 }
 
-// stopOlderRuns stops runs of the same task for other entries: the caller has
-// resubmitted its job, and nobody waits for the earlier run.
+// stopOlderRuns stops runs of the same task for other entries: the caller has resubmitted its job,
+// and nobody waits for the earlier run. Their entries must not start the task again.
 func (s *Supervisor) stopOlderRuns(run Run, now clock.Millis) {
 	for k, o := range s.runs {
 		if k.ref == run.Ref && k.entry != run.Entry {
+			o.Superseded = true
 			s.stop(o, now)
 		}
 	}
--- a/internal/runs/supervisor.go
+++ b/internal/runs/supervisor.go
@@ -390,6 +390,9 @@
 // end removes a run and reports its end to its entry. ranMS is the run's duration, or zero
 // if that is unknown.
 func (s *Supervisor) end(run *Run, outcome jobs.Outcome, ranMS clock.Millis, workerFault bool, now clock.Millis) {
+	if run.Superseded && outcome != jobs.OutcomeDone {
+		outcome = jobs.OutcomeSuperseded
+	}
 	k := runKey{run.Ref, run.Entry}
 	delete(s.runs, k)
 	s.used = s.used.Minus(run.Size)
