--- a/internal/sched/links.go
+++ b/internal/sched/links.go
@@ -251,7 +251,7 @@
 
 // sendKeepalives sends frames on links on which this entry sent nothing for a while.
 // Linked entries receive this entry's state. Agents that hold runs receive an empty frame,
-// since they renew the leases of this entry's runs only while they receive frames from it.
+// since they renew the leases of this entry's runs only while it echoes their frames.
 func (e *Entry) sendKeepalives() {
 	now := time.Now()
 	for _, other := range e.linkedEntries {
