place: Claimed runs are stopped and claimed like others after a new link

Causes: (1) since an entry keeps the mark of a run that an earlier agent process started, a run that had been claimed was not stopped after a new link, if its job had been answered and the first stop was lost. (2) A run that the agent lists without an owner was taken for sent, though nobody had claimed it, unless the agent had been replaced; no end ever came. (3) A job whose run of an earlier agent process was reported as not run could be refused as not run, although that run had started.

Change: what the agent holds for this entry is treated alike, whoever started it; what nobody has claimed is claimed. A run of an earlier agent process counts as started.

Result: TestClaimedRunOfAnAnsweredJobIsStoppedWhenItsAgentIsLinkedAgain, TestUnclaimedRunIsClaimedByATaskWhoseLaunchWasLost and TestJobWhoseClaimArrivesAfterItsRunHasEndedIsNotRefused fail before and pass.

--- a/internal/place/events.go
+++ b/internal/place/events.go
@@ -104,7 +104,7 @@
 	s.actions = append(s.actions, *l)
 }
 
-// AgentConnected handles the lists of runs that an agent sent over a new link: those that it
+// AgentConnected handles the lists of runs that an agent sent over its link: those that it
 // holds for this entry, and those of an earlier agent process that no entry has claimed. Both hold
 // the number of each run by its task. A run that is missing from them never reached the agent,
 // unless it was sent to an earlier agent process of that worker.
@@ -118,7 +118,7 @@
 		for _, t := range j.Tasks {
 			if t.isRunOf(agent) {
 				ref := jobs.TaskRef{Job: j.Spec.ID, Task: t.ID}
-				s.reconcile(j, t, held[ref] == t.Run || unclaimed[ref] == t.Run, now)
+				s.reconcile(j, t, held[ref] == t.Run, unclaimed[ref] == t.Run, now)
 			}
 		}
 		if j.Answered {
@@ -133,16 +133,16 @@
 	return t.Agent == agent && (t.State == TaskUnknown || t.State == TaskSent)
 }
 
-// reconcile updates a run of an agent that has connected, which lists the run or does not. A run
-// in the state TaskSent was sent on this link, on which its launch may still be on the way.
-func (s *Scheduler) reconcile(j *Job, t *Task, listed bool, now clock.Millis) {
+// reconcile updates a run of an agent that has connected. A run in the state TaskSent was sent on
+// this link, on which its launch may still be on the way.
+func (s *Scheduler) reconcile(j *Job, t *Task, held, unclaimed bool, now clock.Millis) {
 	switch {
-	case t.AgentReplaced && listed && !j.Answered:
-		s.claim(j, t, t.Agent)
-	case t.AgentReplaced: // a run that isn't claimed is lost at ResolvesAt
-	case listed:
+	case held:
 		t.State = TaskSent
 		t.Stopping = false
+	case unclaimed && !j.Answered:
+		s.claim(j, t, t.Agent)
+	case unclaimed || t.AgentReplaced: // the run is stopped, or counts as lost at ResolvesAt
 	case t.State == TaskUnknown:
 		s.resolve(j, t, jobs.OutcomeNotRun, ResolvedByInventory, now)
 	}
@@ -249,6 +249,8 @@
 // job if no further run is allowed.
 func (s *Scheduler) retryOrFinish(j *Job, t *Task, outcome jobs.Outcome, now clock.Millis) {
 	agent := t.Agent
+	// The run of an earlier agent process had started, whatever the present one knows of it.
+	j.HadUnsuccessfulRun = j.HadUnsuccessfulRun || t.AgentReplaced
 	t.State = TaskWaiting
 	t.Agent = ""
 	t.Stopping, t.AgentReplaced = false, false
