runs, runner: Leases already granted bound what may start; no request goes unanswered

- A worker has one lease for all runs and never shortens it.
A launch that was handled late inherited the longer lease of another entry's runs: if its entry was killed and the agent froze before the stop, it went on for up to 1,400 ms.
A run is started only if its own bound reaches as far as all leases granted so far, and leases are renewed for at most 809 ms in place of 1,000, so that a contact of up to 400 ms suffices.
- A stop counted from its handling; it counts from the contact of its frame now.
- A suspended host's clock stands: contacts are aged by a noticed pause.
- Nothing is started under a lease that has ended, which the worker refused as late.
- Runs of a silent entry whose link had just been lost were stopped up to 50 ms late, with a tick every millisecond.
- Runs that wait for an earlier run of their task were returned when the worker drained, became unreachable or refused runs, while that run was at work.
- A launch was dropped without an answer while an earlier run of the task was held.
- Two entries could abandon the same job, each superseded by a launch of the other; an entry that was superseded starts nothing of the job for a second.
- A superseded end of an earlier submission abandoned a new one after a new link.

Idle links get a frame every 200 ms in place of 250, for the first point. The test of the unresponsive entry uses two supervisors, since a granted lease is remembered; its figures are unchanged.

--- a/internal/runner/calls.go
+++ b/internal/runner/calls.go
@@ -81,7 +81,7 @@
 }
 
 func (a *Agent) startRun(ctx context.Context, r runs.Run) {
-	leaseEnd := a.supervisor.LeaseEnd(a.clock.Now(), runs.StartLeaseMS)
+	leaseEnd := a.supervisor.GrantLease(a.clock.Now(), runs.StartLeaseMS)
 	a.logStart(r, leaseEnd)
 	until := leaseEnd + a.clockOffset
 	a.supervisor.SetLease(r.Ref, r.Entry, until)
@@ -99,11 +99,6 @@
 	}()
 }
 
-// resendFraction times Settings.ResendMS is how long after the last contact with an entry the
-// leases of its runs end. The rest of ResendMS allows for a worker clock that runs a few percent
-// slow.
-const resendFraction = 0.93
-
 // callTimeout returns the timeout of a call after a number of consecutive unanswered ones.
 func callTimeout(unanswered int) clock.Millis {
 	return min(minCallTimeoutMS<<min(unanswered, maxCallDoublings), maxCallTimeoutMS)
@@ -173,7 +168,7 @@
 	}
 	until := clock.Millis(0)
 	if a.clockOffsetKnown && a.supervisor.RenewLeases(now) {
-		a.renewedUntil = a.supervisor.LeaseEnd(now, a.settings.LeaseMS)
+		a.renewedUntil = a.supervisor.GrantLease(now, a.settings.LeaseMS)
 		until = a.renewedUntil + a.clockOffset
 	}
 	a.polling = true
--- a/internal/runner/lease_test.go
+++ b/internal/runner/lease_test.go
@@ -29,18 +29,22 @@
 // the next second, so the worker continued for the whole lease, while the caller had
 // already resubmitted the job through another entry.
 func TestLeaseOfUnresponsiveEntryEndsBeforeCallersResubmit(t *testing.T) {
-	a := New(Settings{Self: host.Host{Name: "a"}, LeaseMS: 1000, ResendMS: 1300}, clock.New(), nil,
-		fakeStore{}, fakeStore{}, slog.New(slog.NewTextHandler(io.Discard, nil)))
-	a.supervisor.Announce(runs.Worker{ID: "w", Epoch: 1, Fleet: "f", Capacity: jobs.Size{MilliCPU: 4000}}, 0)
-	a.supervisor.HandlePoll(runs.PollResult{SentEpoch: 1, Epoch: 1}, 0)
-	a.supervisor.RecordContact("gone", 1000)
-	a.supervisor.RecordContact("lives", 1900)
-	require.Equal(t, clock.Millis(2900), a.supervisor.LeaseEnd(1900, 1000), "the worker has no runs of the unresponsive entry")
-	a.supervisor.Launch([]runs.Run{{Ref: jobs.TaskRef{Job: "j"}, Number: 1, Entry: "gone"}}, 1000)
-	require.Equal(t, clock.Millis(2209), a.supervisor.LeaseEnd(1900, 1000))
-	require.Less(t, a.supervisor.LeaseEnd(1900, 1000), clock.Millis(1000+1300))
-	a.supervisor.RecordContact("gone", 1850)
-	require.Equal(t, clock.Millis(2900), a.supervisor.LeaseEnd(1900, 1000))
+	newSupervisor := func() *runs.Supervisor {
+		a := New(Settings{Self: host.Host{Name: "a"}, LeaseMS: 1000, ResendMS: 1300}, clock.New(), nil,
+			fakeStore{}, fakeStore{}, slog.New(slog.NewTextHandler(io.Discard, nil)))
+		a.supervisor.Announce(runs.Worker{ID: "w", Epoch: 1, Fleet: "f", Capacity: jobs.Size{MilliCPU: 4000}}, 0)
+		a.supervisor.HandlePoll(runs.PollResult{SentEpoch: 1, Epoch: 1}, 0)
+		a.supervisor.RecordContact("gone", 1000)
+		a.supervisor.RecordContact("lives", 1900)
+		return a.supervisor
+	}
+	require.Equal(t, clock.Millis(2900), newSupervisor().GrantLease(1900, 1000), "the worker has no runs of the unresponsive entry")
+	s := newSupervisor()
+	s.Launch([]runs.Run{{Ref: jobs.TaskRef{Job: "j"}, Number: 1, Entry: "gone"}}, 1000)
+	require.Equal(t, clock.Millis(2209), s.GrantLease(1900, 1000))
+	require.Less(t, s.GrantLease(1900, 1000), clock.Millis(1000+1300))
+	s.RecordContact("gone", 1850)
+	require.Equal(t, clock.Millis(2900), s.GrantLease(1900, 1000))
 }
 
 // slowStore takes saveTime for each write.
--- a/internal/runner/links.go
+++ b/internal/runner/links.go
@@ -174,30 +174,20 @@
 
 // sendKeepalives reports the capacity on links on which nothing was sent for a while.
 func (a *Agent) sendKeepalives() {
-	withRuns := a.supervisor.EntriesWithRuns()
-	for entry, l := range a.links {
-		if time.Since(l.link.LastSentAt) >= keepaliveInterval(withRuns[entry]).Duration() {
+	for _, l := range a.links {
+		if time.Since(l.link.LastSentAt) >= KeepaliveMS.Duration() {
 			l.link.Send(a.capacityFrame(l))
 		}
 	}
 }
 
-// keepaliveInterval returns the longest time without a frame to an entry. The leases of an entry's
-// runs depend on its answers.
-func keepaliveInterval(hasRuns bool) clock.Millis {
-	if hasRuns {
-		return contactIntervalMS
-	}
-	return KeepaliveMS
-}
-
 // nextKeepalive returns when the next keepalive to an entry with runs is due, or limit if that is
-// earlier.
+// earlier. The leases of these runs depend on the entry's answers.
 func (a *Agent) nextKeepalive(now, limit clock.Millis) clock.Millis {
 	due := limit
 	for entry := range a.supervisor.EntriesWithRuns() {
 		if l := a.links[entry]; l != nil {
-			due = min(due, now+contactIntervalMS-clock.FromDuration(time.Since(l.link.LastSentAt)))
+			due = min(due, now+KeepaliveMS-clock.FromDuration(time.Since(l.link.LastSentAt)))
 		}
 	}
 	return due
--- a/internal/runner/overlap_test.go
+++ b/internal/runner/overlap_test.go
@@ -24,11 +24,11 @@
 	a.supervisor.RecordContact("gone", 1000)
 	a.supervisor.Launch([]runs.Run{full, queued}, 1000)
 	a.supervisor.EntryDisconnected("gone", 1001)
-	a.supervisor.LeaseEnd(1002, 1000)
+	a.supervisor.GrantLease(1002, 1000)
 	a.supervisor.HandleStartOutcome(full.Ref, full.Entry, 1, runs.StartNoCapacity, 1003)
 	a.supervisor.RecordContact("lives", 1900)
 	if a.supervisor.RunsAtWorker() > 0 {
-		require.Less(t, a.supervisor.LeaseEnd(1900, 1000), clock.Millis(1000+1300))
+		require.Less(t, a.supervisor.GrantLease(1900, 1000), clock.Millis(1000+1300))
 	}
 }
 
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -82,14 +82,11 @@
 
 // Intervals and limits of an agent.
 const (
-	// KeepaliveMS and LinkTimeoutMS bound how long the loss of a process goes unnoticed. An
-	// agent whose entry is gone must have stopped that entry's runs before a caller
-	// resubmits its job. Only the agent sends keepalives: the transport acknowledgements
-	// on the link show it that the entry is alive.
-	KeepaliveMS   clock.Millis = 250
+	// KeepaliveMS is the longest time without a frame to an entry, and LinkTimeoutMS the time
+	// after which a link that receives nothing is closed. Neither bounds how long the runs of an
+	// entry that is gone go on: the echoes of the entry do (runs.Supervisor.GrantLease).
+	KeepaliveMS   clock.Millis = 200
 	LinkTimeoutMS clock.Millis = 650
-	// contactIntervalMS is the interval of the keepalives to entries that have runs here.
-	contactIntervalMS clock.Millis = 200
 
 	// MaxLinks is the number of entries that an agent links to. It is enough to spread uneven
 	// load of the entries over all workers; each link costs processor time on both ends.
@@ -179,15 +176,23 @@
 	workerGone bool
 }
 
+// resendFraction times Settings.ResendMS is how long after the last contact with an entry the
+// leases of its runs end. The rest of ResendMS allows for a worker clock that runs a few percent
+// slow.
+const resendFraction = 0.93
+
 // New returns an agent.
 func New(s Settings, c Clock, worker Worker, directory EntryDirectory, workerStore WorkerStore, log *slog.Logger) *Agent {
+	contactLeaseMS := clock.Millis(resendFraction * float64(s.ResendMS))
+	// With longer leases runs could only be started right after a contact with their entry.
+	s.LeaseMS = min(s.LeaseMS, contactLeaseMS-runs.MaxStartContactMS)
 	a := &Agent{
 		settings:       s,
 		clock:          c,
 		log:            log,
 		worker:         worker,
 		directory:      directory,
-		supervisor:     runs.New(clock.Millis(resendFraction * float64(s.ResendMS))),
+		supervisor:     runs.New(contactLeaseMS),
 		pauseDetector:  clock.NewPauseDetector(pauseLimitMS, clock.FromDuration(idleInterval)),
 		announcements:  make(chan Announcement, inboxSize),
 		startResults:   make(chan startResult, inboxSize),
@@ -340,6 +345,7 @@
 		return
 	}
 	a.log.Warn("process was paused; stopping all runs", "paused_ms", int64(paused))
+	a.supervisor.AgeContacts(paused)
 	a.stopAll("suspended")
 }
 
@@ -357,14 +363,12 @@
 // grows with the round-trip time.
 func (a *Agent) closeSilentLinks(now clock.Millis) {
 	for entry := range a.supervisor.SilentEntries(now) {
-		l := a.links[entry]
-		if l == nil {
-			a.supervisor.EntryDisconnected(entry, now-runs.DisconnectGraceMS)
-			continue
+		a.log.Warn("entry silent; its runs are stopped", "incarnation", entry, "linked", a.links[entry] != nil,
+			"contact_ms", a.contactAge(entry))
+		if a.links[entry] != nil {
+			a.abandonLink(entry, "silent", now)
 		}
-		a.log.Warn("entry silent; link closed and runs stopped", "peer", l.link.Peer.Name,
-			"contact_ms_ago", clock.FromDuration(time.Since(l.link.ContactAt)))
-		a.abandonLink(entry, "silent", now)
+		a.supervisor.StopRunsOf(entry, now)
 	}
 }
 
--- a/internal/runs/epochs.go
+++ b/internal/runs/epochs.go
@@ -98,6 +98,7 @@
 		run.MissingSince = 0
 	}
 	s.orphaned, s.claimUntil = map[RunID]orphanedRun{}, 0
+	s.grantedUntil = 0
 	s.Speed, s.fastLogSpeed = 1, 0
 	s.resetHealth()
 }
--- a/internal/runs/leases_test.go
+++ b/internal/runs/leases_test.go
@@ -20,7 +20,7 @@
 	require.Equal(t, due, s.NextContactDue(10*clock.Second))
 	require.Empty(t, s.SilentEntries(due-1))
 	require.Equal(t, map[string]bool{entryA: true}, s.SilentEntries(due))
-	require.Equal(t, contactLeaseMS, s.LeaseEnd(due, lease))
+	require.Equal(t, contactLeaseMS, s.GrantLease(due, lease))
 	s.EntryDisconnected(entryA, due-DisconnectGraceMS)
 	s.Tick(due)
 	require.Empty(t, s.SilentEntries(due), "the run is being stopped")
@@ -34,11 +34,12 @@
 	s.RecordContact(entryA, 0)
 	s.Launch([]Run{newRun(entryA, "j", 0, 1)}, 0)
 	answerStart(s, ref("j", 0), entryA, StartOK, 10)
+	s.RecordContact(entryA, 500)
 	s.StopTasks(entryA, "j", nil, 500)
 	s.RecordContact(entryA, 1500)
-	require.Equal(t, 500+contactLeaseMS, s.LeaseEnd(1500, lease))
+	require.Equal(t, 500+contactLeaseMS, s.GrantLease(1500, lease))
 	s.HandlePoll(PollResult{ClockMS: 1600, SentAt: 1550, Epoch: 1, Ended: []EndedRun{{ref("j", 0), 1, jobs.OutcomeStopped}}}, 1600)
-	require.Equal(t, 1600+lease, s.LeaseEnd(1600, lease))
+	require.Equal(t, 1600+lease, s.GrantLease(1600, lease))
 }
 
 // Guards against a start for an entry that is gone: a launch may have waited in the network or in
--- a/internal/runs/orphans.go
+++ b/internal/runs/orphans.go
@@ -122,7 +122,9 @@
 	run.Epoch = s.Worker.Epoch
 	run.Claimed = true
 	run.ClaimedLate = s.claimUntil == 0
-	run.Stopping, run.StopRequestedAt, run.StopSentAt = run.ClaimedLate, orphan.StopSentAt, orphan.StopSentAt
+	run.Stopping = run.ClaimedLate
+	run.StopRequestedAt = s.contactOf(&run)
+	run.StopSentAt = orphan.StopSentAt
 	s.runs[runKey{run.Ref, run.Entry}] = &run
 	s.used = s.used.Plus(run.Size)
 	if orphan.HasEnded {
--- a/internal/runs/run.go
+++ b/internal/runs/run.go
@@ -73,7 +73,8 @@
 	// Stopping is set once the run is to be stopped, and stays set until it has ended. A
 	// queued run is returned to its entry instead.
 	Stopping bool
-	// StopRequestedAt is when Stopping was set.
+	// StopRequestedAt is the last contact with the entry when Stopping was set: the stop may have
+	// been handled late.
 	StopRequestedAt clock.Millis
 	// StopSentAt is when a stop was last sent to the worker, StopAckedAt when the worker
 	// first acknowledged one. A run that the worker does not have by then will never start.
@@ -88,6 +89,9 @@
 	// MissingSince is when a poll first failed to list the run although the worker had
 	// confirmed it; zero while the run is listed.
 	MissingSince clock.Millis
+	// LaterNumbers are the numbers of later runs of the task that the entry requested while it held
+	// this one. They are returned as not run once this one has ended.
+	LaterNumbers []int64
 	// Superseded is set once another entry has requested a run of the task.
 	Superseded bool
 	// Claimed is set for a run that an earlier agent process started; its start time is
--- a/internal/runs/starts.go
+++ b/internal/runs/starts.go
@@ -19,21 +19,33 @@
 		run.Status = Queued
 		run.QueuedAt = now
 		k := runKey{run.Ref, run.Entry}
-		if s.runs[k] != nil {
-			continue // duplicate
+		if held := s.runs[k]; held != nil {
+			held.requestAgain(run.Number)
+			continue
 		}
 		s.runs[k] = &run
 		s.used = s.used.Plus(run.Size)
-		if s.RefusesRuns() {
+		at, superseded := s.superseded[supersession{run.Ref.Job, run.Entry}]
+		run.Superseded = superseded && now-at < supersededMS
+		if !run.Superseded {
+			s.stopOlderRuns(run, now)
+		}
+		if run.Superseded || s.RefusesRuns() && !s.earlierRunAtWorker(&run) {
 			s.end(&run, jobs.OutcomeNotRun, 0, false, now)
-			continue
 		}
-		s.stopOlderRuns(run, now)
 	}
 	s.Changed = true
 	s.startQueued(now)
 }
 
+// requestAgain records the number of a run that was requested while r, an earlier run of the same
+// task and entry, is held.
+func (r *Run) requestAgain(number int64) {
+	if number != r.Number {
+		r.LaterNumbers = append(r.LaterNumbers, number)
+	}
+}
+
 // RefusesRuns reports whether new runs are refused at present: the agent drains, or the
 // worker is missing, unconfirmed, draining, deregistered, unreachable or executing orphaned
 // runs.
@@ -41,10 +53,10 @@
 	return s.StoppedAccepting || s.Worker == nil || s.unconfirmed || s.Worker.Draining || s.Unreachable || s.HasRunningOrphans()
 }
 
-// returnQueued ends all queued runs as not run.
+// returnQueued ends the queued runs as not run, but for those that wait for an earlier run.
 func (s *Supervisor) returnQueued(now clock.Millis) {
 	for _, run := range s.sortedRuns() {
-		if run.Status == Queued {
+		if run.Status == Queued && !s.earlierRunAtWorker(run) {
 			s.end(run, jobs.OutcomeNotRun, 0, false, now)
 		}
 	}
@@ -56,6 +68,7 @@
 	for k, o := range s.runs {
 		if k.ref == run.Ref && k.entry != run.Entry {
 			o.Superseded = true
+			s.superseded[supersession{run.Ref.Job, k.entry}] = now
 			s.stop(o, now)
 		}
 	}
@@ -63,7 +76,7 @@
 
 // startQueued starts queued runs by latest start time, up to the first that does not fit.
 func (s *Supervisor) startQueued(now clock.Millis) {
-	if s.RefusesRuns() {
+	if s.RefusesRuns() || s.leaseEnd(now, StartLeaseMS) < now+minStartLeaseMS {
 		return
 	}
 	free := s.Worker.Capacity
@@ -80,7 +93,7 @@
 		if !run.Size.FitsIn(free) {
 			return
 		}
-		if s.earlierRunAtWorker(run) || s.mayBeGone(run, now) {
+		if s.earlierRunAtWorker(run) || !s.mayStart(run, now) {
 			continue
 		}
 		free = free.Minus(run.Size)
@@ -89,13 +102,6 @@
 	}
 }
 
-// mayBeGone reports whether the entry of a run is disconnected or silent. Its callers may be about
-// to resubmit.
-func (s *Supervisor) mayBeGone(run *Run, now clock.Millis) bool {
-	_, disconnected := s.disconnected[run.Entry]
-	return disconnected || now >= s.stopDue(run)
-}
-
 // earlierRunAtWorker reports whether the worker may still have another run of the task. The run
 // then waits, since its entry would start the task elsewhere if it were returned.
 func (s *Supervisor) earlierRunAtWorker(run *Run) bool {
@@ -164,7 +170,7 @@
 			s.sendStart(run, now)
 			return
 		}
-		s.markUnknown(run, now)
+		s.markUnknown(run)
 	default:
 		if outcome == StartUnhealthy {
 			s.recordFailure(ref.Job, now)
@@ -174,7 +180,7 @@
 			break
 		}
 		// The worker may have executed an earlier, unanswered start or may still do so.
-		s.markUnknown(run, now)
+		s.markUnknown(run)
 	}
 	if run.Stopping && run.Status > Starting {
 		s.sendStop(run, now)
@@ -184,9 +190,9 @@
 
 // markUnknown marks a run that the worker may or may not have as Unknown and to be stopped:
 // the expiry of the lease would resolve its state as well, but a stop does so sooner.
-func (s *Supervisor) markUnknown(run *Run, now clock.Millis) {
+func (s *Supervisor) markUnknown(run *Run) {
 	run.Status = Unknown
 	if !run.Stopping {
-		run.Stopping, run.StopRequestedAt = true, now
+		run.Stopping, run.StopRequestedAt = true, s.contactOf(run)
 	}
 }
--- a/internal/runs/supervisor.go
+++ b/internal/runs/supervisor.go
@@ -6,6 +6,7 @@
 package runs
 
 import (
+	"maps"
 	"sort"
 
 	"github.com/turmericbarrow/turmericbarrow/internal/clock"
@@ -71,6 +72,10 @@
 	firstFailedPollAt clock.Millis
 	// renewedAt is when the last poll that renewed the leases was sent.
 	renewedAt clock.Millis
+	// grantedUntil is the latest end of the leases that were granted to the present epoch.
+	grantedUntil clock.Millis
+	// superseded holds when another entry requested a task of a job from an entry's runs.
+	superseded map[supersession]clock.Millis
 	// startSentAt is when the last start was sent.
 	startSentAt clock.Millis
 	// lastPollAt is when the last poll was answered.
@@ -90,6 +95,12 @@
 	retiredEpochs []int64
 }
 
+// supersession names a job and an entry whose runs of it were superseded.
+type supersession struct {
+	job   jobs.ID
+	entry string
+}
+
 // recentEnd is the end of a run whose report its entry may not have received.
 type recentEnd struct {
 	entry string
@@ -109,6 +120,10 @@
 	// maxUnansweredStarts is the number of unanswered starts after which the agent stops
 	// retrying the run: a healthy worker answers at least one of them.
 	maxUnansweredStarts = 3
+	// supersededMS is how long launches of a superseded entry are refused. It is longer than a
+	// launch takes that was sent before the entry learned of it, and shorter than the time after
+	// which callers resubmit a job.
+	supersededMS clock.Millis = 1000
 	// cautiousMS is how long after an unanswered call further ones are expected.
 	cautiousMS clock.Millis = 2000
 	// stopRetryMS is the interval at which a stop is repeated until the run has ended.
@@ -167,6 +182,7 @@
 		orphaned:       map[RunID]orphanedRun{},
 		disconnected:   map[string]clock.Millis{},
 		contacts:       map[string]clock.Millis{},
+		superseded:     map[supersession]clock.Millis{},
 		nextEjectionMS: minEjectionMS,
 		announced:      -1,
 	}
@@ -226,7 +242,7 @@
 	if run.Stopping {
 		return
 	}
-	run.Stopping, run.StopRequestedAt = true, now
+	run.Stopping, run.StopRequestedAt = true, s.contactOf(run)
 	if run.Status == Starting {
 		return // the stop is sent once the start has returned
 	}
@@ -247,12 +263,13 @@
 
 // EntryConnected records that an entry is linked. It returns all runs held for the entry and
 // the recent ends, which the entry may have missed. Run numbers start again when a job is
-// submitted again, so that an earlier run may have had the number of one that is held.
+// submitted again, so that an earlier run may have had the number of one that is held, or of the
+// present submission: a superseded end, with which the entry abandons the job, is left out.
 func (s *Supervisor) EntryConnected(entry string) ([]Run, []RunEnd) {
 	delete(s.disconnected, entry)
 	var ends []RunEnd
 	for _, e := range s.recentEnds {
-		if e.entry == entry && !s.holds(entry, e.end) {
+		if e.entry == entry && e.end.Outcome != jobs.OutcomeSuperseded && !s.holds(entry, e.end) {
 			ends = append(ends, e.end)
 		}
 	}
@@ -352,7 +369,7 @@
 func (s *Supervisor) Tick(now clock.Millis) {
 	for entry, since := range s.disconnected {
 		if now-since >= DisconnectGraceMS {
-			s.stopRunsOf(entry, now)
+			s.StopRunsOf(entry, now)
 			delete(s.disconnected, entry)
 		}
 	}
@@ -373,13 +390,15 @@
 		s.Changed = true
 	}
 	s.forgetContacts(now)
+	maps.DeleteFunc(s.superseded, func(_ supersession, at clock.Millis) bool { return now-at >= supersededMS })
 	s.expireClaims(now)
 	s.stopOrphans(now)
 	s.checkStalled(now)
 	s.startQueued(now)
 }
 
-func (s *Supervisor) stopRunsOf(entry string, now clock.Millis) {
+// StopRunsOf stops all runs of an entry.
+func (s *Supervisor) StopRunsOf(entry string, now clock.Millis) {
 	for _, run := range s.sortedRuns() {
 		if run.Entry == entry {
 			s.stop(run, now)
@@ -401,6 +420,11 @@
 	s.recentEnds = append(s.recentEnds, recentEnd{entry: run.Entry, end: e, at: now})
 	s.ended = append(s.ended, Ended{Run: *run, End: e})
 	s.actions = append(s.actions, Report{Entry: run.Entry, End: e})
+	for _, number := range run.LaterNumbers {
+		e := RunEnd{Ref: run.Ref, Number: number, Outcome: jobs.OutcomeNotRun}
+		s.recentEnds = append(s.recentEnds, recentEnd{entry: run.Entry, end: e, at: now})
+		s.actions = append(s.actions, Report{Entry: run.Entry, End: e})
+	}
 }
 
 // lose removes a run that may have been executed in part and reports it as lost.
