--- a/internal/runner/reborn_test.go
+++ b/internal/runner/restarted_test.go
@@ -41,53 +41,53 @@
 	return n
 }
 
-// rebornWorker crashes just before the first start arrives and is back at once under its id, with
+// restartedWorker crashes just before the first start arrives and is back at once under its id, with
 // a new epoch that has seen no fencing token. It accepts the start acceptDelay later.
-type rebornWorker struct {
+type restartedWorker struct {
 	acceptDelay, workTime time.Duration
-	state                 chan rebornState
+	state                 chan restartedState
 }
 
-type rebornState struct {
+type restartedState struct {
 	token                     int64
 	running, ended, forgotten bool
 	stops                     int
 }
 
-func (w rebornWorker) with(f func(s *rebornState)) {
+func (w restartedWorker) with(f func(s *restartedState)) {
 	s := <-w.state
 	f(&s)
 	w.state <- s
 }
 
-func (w rebornWorker) Start(_ context.Context, target runs.Worker, _ runs.Run, _ clock.Millis) (outcome runs.StartOutcome, clockMS clock.Millis) {
+func (w restartedWorker) Start(_ context.Context, target runs.Worker, _ runs.Run, _ clock.Millis) (outcome runs.StartOutcome, clockMS clock.Millis) {
 	time.Sleep(w.acceptDelay)
-	w.with(func(s *rebornState) {
+	w.with(func(s *restartedState) {
 		if target.Token < s.token || s.ended {
 			outcome = runs.StartRefused
 			return
 		}
 		s.token, s.running = target.Token, true
 		time.AfterFunc(w.workTime, func() {
-			w.with(func(s *rebornState) { s.ended, s.running = s.running, false })
+			w.with(func(s *restartedState) { s.ended, s.running = s.running, false })
 		})
 	})
 	return outcome, 5
 }
 
-func (w rebornWorker) Stop(context.Context, runs.Worker, jobs.TaskRef, int64) error {
-	w.with(func(s *rebornState) { s.stops++ })
+func (w restartedWorker) Stop(context.Context, runs.Worker, jobs.TaskRef, int64) error {
+	w.with(func(s *restartedState) { s.stops++ })
 	return nil
 }
 
 // Poll acknowledges an end that an earlier poll has listed, and waits for the next end.
-func (w rebornWorker) Poll(_ context.Context, target runs.Worker, _, wait clock.Millis) (runs.PollResult, error) {
+func (w restartedWorker) Poll(_ context.Context, target runs.Worker, _, wait clock.Millis) (runs.PollResult, error) {
 	time.Sleep(time.Millisecond)
 	result := runs.PollResult{ClockMS: 5, Epoch: 2}
-	w.with(func(s *rebornState) { s.token = max(s.token, target.Token) })
+	w.with(func(s *restartedState) { s.token = max(s.token, target.Token) })
 	for waited := clock.Millis(0); waited <= wait; waited++ {
 		done := false
-		w.with(func(s *rebornState) {
+		w.with(func(s *restartedState) {
 			switch {
 			case s.ended && !s.forgotten:
 				s.forgotten, done = true, true
@@ -107,23 +107,23 @@
 // Guards against the record of issue 32: one of two runs at once was not stopped, ended done, and
 // its end was acknowledged. A worker that is back under its id accepts a start, and its first
 // announcement made the agent report the run as lost.
-func TestRunThatARebornWorkerAcceptsIsNotReportedBeforeItsEnd(t *testing.T) {
+func TestRunThatARestartedWorkerAcceptsIsNotReportedBeforeItsEnd(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		w := rebornWorker{acceptDelay: 5 * time.Millisecond, workTime: 60 * time.Millisecond, state: make(chan rebornState, 1)}
-		w.state <- rebornState{}
+		w := restartedWorker{acceptDelay: 5 * time.Millisecond, workTime: 60 * time.Millisecond, state: make(chan restartedState, 1)}
+		w.state <- restartedState{}
 		a := newConfirmedAgent(w)
 		a.supervisor.Launch([]runs.Run{{Ref: jobs.TaskRef{Job: "j"}, Number: 1, Entry: "e"}}, a.clock.Now())
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan error, 1)
 		go func() { done <- a.Run(ctx) }()
 		time.Sleep(30 * time.Millisecond)
-		reborn := overlapWorker
-		reborn.Epoch = 2
-		a.Announce(ctx, Announcement{Worker: reborn, Sequence: 1, ClockMS: 30, Handled: make(chan struct{})})
+		next := overlapWorker
+		next.Epoch = 2
+		a.Announce(ctx, Announcement{Worker: next, Sequence: 1, ClockMS: 30, Handled: make(chan struct{})})
 		overlapMS := 0
 		for range 500 {
 			time.Sleep(time.Millisecond)
-			w.with(func(s *rebornState) {
+			w.with(func(s *restartedState) {
 				if s.running && endsReported(a) > 0 {
 					overlapMS++
 				}
--- a/internal/runs/leases.go
+++ b/internal/runs/leases.go
@@ -8,7 +8,7 @@
 	stopReserveMS clock.Millis = 200
 	// MaxStartContactMS is the age up to which a contact allows to start a run under the longest
 	// lease of the other runs.
-	MaxStartContactMS clock.Millis = 400
+	MaxStartContactMS clock.Millis = 300
 	// minStartLeaseMS is the shortest lease under which a run is started.
 	minStartLeaseMS clock.Millis = 100
 	// contactMemoryMS is how long a contact is remembered while the entry has no runs here.
