place, runs, sched: Start nothing in drained availability zones

Cause: the drain of a zone that operators publish was not read at all, so that tasks were started in a drained zone until the drain ended.

Change: the reader of the configuration also follows the drains. Placement passes over the zone's workers; the agent is the last to enforce the drain and returns what it has not started.

--- a/internal/link/codec.go
+++ b/internal/link/codec.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/turmericbarrow/turmericbarrow/internal/jobs"
 	"github.com/turmericbarrow/turmericbarrow/internal/wire"
+	"github.com/turmericbarrow/turmericbarrow/internal/zone"
 )
 
 // EncodeSize encodes a size.
@@ -19,3 +20,13 @@
 func DecodeTaskRef(job string, step, index int32) jobs.TaskRef {
 	return jobs.TaskRef{Job: jobs.ID(job), Task: jobs.TaskID{Step: int(step), Index: int(index)}}
 }
+
+// DrainsFrame encodes a set of drained zones.
+func DrainsFrame(d zone.Drains) *wire.Frame {
+	return &wire.Frame{Body: &wire.Frame_ZoneDrains{ZoneDrains: &wire.ZoneDrains{Revision: d.Revision, Zones: d.Zones}}}
+}
+
+// DecodeDrains decodes a set of drained zones.
+func DecodeDrains(m *wire.ZoneDrains) zone.Drains {
+	return zone.NewDrains(m.GetRevision(), m.GetZones())
+}
--- a/internal/place/events.go
+++ b/internal/place/events.go
@@ -27,6 +27,7 @@
 		}
 	}
 	s.Workers[w.Agent] = &w
+	w.ZoneDrained = s.drains.Contains(w.Zone)
 	w.Ejected = w.Ejected && s.mayEject(&w)
 	s.schedule(now)
 }
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -16,6 +16,7 @@
 	"github.com/turmericbarrow/turmericbarrow/internal/clock"
 	"github.com/turmericbarrow/turmericbarrow/internal/contr"
 	"github.com/turmericbarrow/turmericbarrow/internal/jobs"
+	"github.com/turmericbarrow/turmericbarrow/internal/zone"
 )
 
 // Worker is the state of a worker as known to this entry.
@@ -41,6 +42,8 @@
 	Probation bool
 	// Stalled is set while the worker's tasks make no progress.
 	Stalled bool
+	// ZoneDrained is set while the worker's zone is drained.
+	ZoneDrained bool
 	// Ejected is set while the worker gets no tasks after failures. It is ignored if
 	// too many workers of the fleet are ejected.
 	Ejected bool
@@ -86,7 +89,7 @@
 
 // usable reports whether w accepts new tasks, regardless of its free capacity.
 func (w *Worker) usable() bool {
-	return !w.Closed && !w.Ejected && w.DisconnectedAt == 0
+	return !w.Closed && !w.ZoneDrained && !w.Ejected && w.DisconnectedAt == 0
 }
 
 // hasFreeCPU reports whether w accepts new tasks and has any processor time free. It
@@ -234,6 +237,7 @@
 	ReasonNone           Reason = ""
 	ReasonNoWorker       Reason = "no_worker"
 	ReasonNeverFits      Reason = "never_fits"
+	ReasonZonesDrained   Reason = "zones_drained"
 	ReasonOverload       Reason = "overload"
 	ReasonDraining       Reason = "draining"
 	ReasonCallerDeadline Reason = "caller_deadline"
@@ -412,6 +416,7 @@
 	// executing.
 	Jobs map[jobs.ID]*Job
 
+	drains zone.Drains
 	// jobsToPlace holds the jobs with tasks in the state TaskWaiting, in the order of
 	// precedes.
 	jobsToPlace []*Job
--- a/internal/place/submit.go
+++ b/internal/place/submit.go
@@ -75,6 +75,9 @@
 	if !fleetKnown {
 		return ReasonNoWorker
 	}
+	if s.onlyInDrainedZones(j) {
+		return ReasonZonesDrained
+	}
 	return ReasonNone
 }
 
--- a/internal/runner/links.go
+++ b/internal/runner/links.go
@@ -12,6 +12,7 @@
 	"github.com/turmericbarrow/turmericbarrow/internal/roster"
 	"github.com/turmericbarrow/turmericbarrow/internal/runs"
 	"github.com/turmericbarrow/turmericbarrow/internal/wire"
+	"github.com/turmericbarrow/turmericbarrow/internal/zone"
 )
 
 // entryLink is the link to an entry and what was exchanged on it.
@@ -169,9 +170,25 @@
 			}
 		}
 		a.updateDials(now)
+	case *wire.Frame_ZoneDrains:
+		a.onDrains(link.DecodeDrains(b.ZoneDrains), l.link.Peer.Name, now)
 	}
 }
 
+// onDrains puts a set of drained zones in force if it is newer than the present one. The agent is
+// the last to enforce it, since some entries may learn of a drain later.
+func (a *Agent) onDrains(d zone.Drains, from string, now clock.Millis) {
+	if !d.NewerThan(a.drains) {
+		return
+	}
+	a.drains = d
+	drained := d.Contains(a.settings.Self.Location.Zone)
+	if drained != a.supervisor.ZoneDrained {
+		a.log.Info("drain of the zone in force", "drained", drained, "revision", d.Revision, "from", from, "held", a.supervisor.Held())
+	}
+	a.supervisor.SetZoneDrained(drained, now)
+}
+
 // sendKeepalives reports the capacity on links on which nothing was sent for a while.
 func (a *Agent) sendKeepalives() {
 	for _, l := range a.links {
--- a/internal/runner/metrics.go
+++ b/internal/runner/metrics.go
@@ -54,6 +54,7 @@
 	Speed        float64
 	OnProbation  bool
 	Unreachable  bool
+	ZoneDrained  bool
 	Entries      int
 }
 
@@ -74,6 +75,7 @@
 		"turmericbarrow_worker_speed":       g.Speed,
 		"turmericbarrow_worker_on_trial":    boolValue(g.OnProbation),
 		"turmericbarrow_worker_unreachable": boolValue(g.Unreachable),
+		"turmericbarrow_zone_drained":       boolValue(g.ZoneDrained),
 		"turmericbarrow_links_entries":      float64(g.Entries),
 	} {
 		gauges.NewGauge(name, func() float64 { return v })
@@ -92,5 +94,5 @@
 func (a *Agent) gauges() Gauges {
 	onProbation, _ := a.supervisor.Probation(a.clock.Now())
 	return Gauges{Held: a.supervisor.Held(), FreeMilliCPU: a.supervisor.Free().MilliCPU, Speed: a.supervisor.Speed,
-		OnProbation: onProbation, Unreachable: a.supervisor.Unreachable, Entries: len(a.links)}
+		OnProbation: onProbation, Unreachable: a.supervisor.Unreachable, ZoneDrained: a.supervisor.ZoneDrained, Entries: len(a.links)}
 }
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -19,6 +19,7 @@
 	"github.com/turmericbarrow/turmericbarrow/internal/link"
 	"github.com/turmericbarrow/turmericbarrow/internal/roster"
 	"github.com/turmericbarrow/turmericbarrow/internal/runs"
+	"github.com/turmericbarrow/turmericbarrow/internal/zone"
 )
 
 // Worker is the worker beside the agent. Each call names the worker that it is meant for,
@@ -171,7 +172,9 @@
 	// drainDeadline is when a draining agent ends at the latest; zero while it does not drain.
 	drainDeadline clock.Millis
 	loggedState   workerState
-	recordWriter  *recordWriter
+	// drains is the newest set of drained zones that an entry has sent.
+	drains       zone.Drains
+	recordWriter *recordWriter
 	// workerGone is set while the last announcement is that the worker deregistered.
 	workerGone bool
 }
--- a/internal/runs/starts.go
+++ b/internal/runs/starts.go
@@ -46,11 +46,11 @@
 	}
 }
 
-// RefusesRuns reports whether new runs are refused at present: the agent drains, or the
-// worker is missing, unconfirmed, draining, deregistered, unreachable or executing orphaned
+// RefusesRuns reports whether new runs are refused at present: the agent or the zone drains, or
+// the worker is missing, unconfirmed, draining, deregistered, unreachable or executing orphaned
 // runs.
 func (s *Supervisor) RefusesRuns() bool {
-	return s.StoppedAccepting || s.Worker == nil || s.unconfirmed || s.Worker.Draining || s.Unreachable || s.HasRunningOrphans()
+	return s.StoppedAccepting || s.ZoneDrained || s.Worker == nil || s.unconfirmed || s.Worker.Draining || s.Unreachable || s.HasRunningOrphans()
 }
 
 // returnQueued ends the queued runs as not run, but for those that wait for an earlier run.
@@ -164,7 +164,7 @@
 	case StartUnanswered:
 		run.UnansweredStarts++
 		s.unansweredAt = now
-		if run.UnansweredStarts < maxUnansweredStarts && !run.Stopping && !s.HasRunningOrphans() {
+		if run.UnansweredStarts < maxUnansweredStarts && !run.Stopping && !s.ZoneDrained && !s.HasRunningOrphans() {
 			// Starts are idempotent: the worker confirms a run that it already has and refuses
 			// one that has ended.
 			s.sendStart(run, now)
--- a/internal/runs/supervisor.go
+++ b/internal/runs/supervisor.go
@@ -21,6 +21,8 @@
 	Speed float64
 	// StoppedAccepting is set while the agent drains and after its worker has deregistered.
 	StoppedAccepting bool
+	// ZoneDrained is set while the zone of the worker is drained. SetZoneDrained sets it.
+	ZoneDrained bool
 	// FailedJobs counts the consecutive failed jobs since the last success.
 	FailedJobs int
 	// EjectedUntil is the end of the worker's last ejection. The next success or new epoch
@@ -212,6 +214,20 @@
 	s.returnQueued(now)
 }
 
+// SetZoneDrained records whether the zone of the worker is drained. While it is, nothing is
+// started: new runs and queued ones are returned to their entries as not run. Runs at the worker
+// continue.
+func (s *Supervisor) SetZoneDrained(drained bool, now clock.Millis) {
+	if drained == s.ZoneDrained {
+		return
+	}
+	s.ZoneDrained = drained
+	s.NotifyNow = true
+	if drained {
+		s.returnQueued(now)
+	}
+}
+
 // StopTasks stops an entry's runs of the given tasks of a job, or of all its tasks if
 // none is given.
 func (s *Supervisor) StopTasks(entry string, job jobs.ID, tasks []jobs.TaskID, now clock.Millis) {
--- a/internal/sched/links.go
+++ b/internal/sched/links.go
@@ -60,6 +60,7 @@
 	e.linkedEntries[incarnation] = &linkedEntry{link: l}
 	e.rosterChanged = true
 	e.log.Info("link up", "peer", l.Peer.Name, "role", string(l.Peer.Role), "incarnation", incarnation)
+	e.sendDrains(l)
 	l.Send(e.entryStateFrame())
 }
 
@@ -172,6 +173,7 @@
 		}
 		e.closeLinksOfReplaced(l)
 		e.agents[incarnation] = l
+		e.sendDrains(l)
 		e.log.Info("link up", "peer", l.Peer.Name, "role", "agent", "incarnation", incarnation,
 			"earlier", e.earlierAgent(incarnation, l.Peer.Name), "held", len(m.GetHeld()), "ends", len(m.GetEnds()))
 	}
@@ -246,6 +248,8 @@
 		e.onTerms(terms, l.Peer.Name)
 	case *wire.Frame_CancelJob:
 		e.onCancels(l, b.CancelJob)
+	case *wire.Frame_ZoneDrains:
+		e.onDrainsFrame(other, b.ZoneDrains)
 	}
 }
 
--- a/internal/sched/messages.go
+++ b/internal/sched/messages.go
@@ -167,6 +167,10 @@
 	// WorkersWithFreeCPU counts the workers that accept tasks and have any processor
 	// time free.
 	WorkersWithFreeCPU int
+	// DrainedZones counts the zones that operators have drained, and DrainedWorkers the known
+	// workers in them.
+	DrainedZones   int
+	DrainedWorkers int
 	// EntryLinks and AgentLinks count the links to other entries and to agents.
 	EntryLinks int
 	AgentLinks int
@@ -177,6 +181,7 @@
 func (m gaugesQuery) apply(e *Entry) {
 	g := Gauges{HeldJobs: len(e.scheduler.Jobs), KnownWorkers: len(e.scheduler.Workers), EntryLinks: len(e.linkedEntries), AgentLinks: len(e.agents)}
 	g.JobsToPlace, g.WorkersWithFreeCPU = e.scheduler.Counts()
+	g.DrainedZones, g.DrainedWorkers = len(e.drains.Zones), e.scheduler.WorkersInDrainedZones()
 	if e.terms != nil {
 		g.TermsVersion = e.terms.Version
 	}
--- a/internal/sched/metrics.go
+++ b/internal/sched/metrics.go
@@ -58,13 +58,15 @@
 	m.set.WritePrometheus(w)
 	gauges := metrics.NewSet()
 	for name, v := range map[string]int64{
-		"turmericbarrow_config_version": g.TermsVersion,
-		"turmericbarrow_jobs_held":      int64(g.HeldJobs),
-		"turmericbarrow_jobs_waiting":   int64(g.JobsToPlace),
-		"turmericbarrow_workers_known":  int64(g.KnownWorkers),
-		"turmericbarrow_workers_open":   int64(g.WorkersWithFreeCPU),
-		"turmericbarrow_links_entries":  int64(g.EntryLinks),
-		"turmericbarrow_links_agents":   int64(g.AgentLinks),
+		"turmericbarrow_config_version":  g.TermsVersion,
+		"turmericbarrow_jobs_held":       int64(g.HeldJobs),
+		"turmericbarrow_jobs_waiting":    int64(g.JobsToPlace),
+		"turmericbarrow_workers_known":   int64(g.KnownWorkers),
+		"turmericbarrow_workers_open":    int64(g.WorkersWithFreeCPU),
+		"turmericbarrow_zones_drained":   int64(g.DrainedZones),
+		"turmericbarrow_workers_drained": int64(g.DrainedWorkers),
+		"turmericbarrow_links_entries":   int64(g.EntryLinks),
+		"turmericbarrow_links_agents":    int64(g.AgentLinks),
 	} {
 		gauges.NewGauge(name, func() float64 { return float64(v) })
 	}
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -24,6 +24,7 @@
 	"github.com/turmericbarrow/turmericbarrow/internal/place"
 	"github.com/turmericbarrow/turmericbarrow/internal/roster"
 	"github.com/turmericbarrow/turmericbarrow/internal/wire"
+	"github.com/turmericbarrow/turmericbarrow/internal/zone"
 )
 
 // Clock returns the current time.
@@ -31,11 +32,20 @@
 	Now() clock.Millis
 }
 
-// TermsSource provides the configuration that operators publish.
+// Published is what operators have published since the last read.
+type Published struct {
+	// Terms is nil if there is no newer configuration.
+	Terms *contr.Terms
+	// Drains is nil if no drain of a zone began or ended.
+	Drains *zone.Drains
+}
+
+// TermsSource provides the configuration that operators publish, and the zones that they drain.
 type TermsSource interface {
-	// Next waits for terms with a version above after. It returns nil terms when its
-	// wait times out.
-	Next(ctx context.Context, after int64) (*contr.Terms, error)
+	// Next waits for terms with a version above after, or for a change of the drained zones. It
+	// returns neither when its wait times out. The drained zones are known with the first terms
+	// at the latest.
+	Next(ctx context.Context, after int64) (Published, error)
 }
 
 // Members is the membership list of entries in the platform's store.
@@ -147,15 +157,17 @@
 	// termsRequestedAt is when terms were last requested from a linked entry.
 	termsRequestedAt clock.Millis
 	termsSource      TermsSource
-	members          Members
-	node             *link.Node
-	pause            *clock.PauseDetector
+	// drains is the newest set of drained zones that is known.
+	drains  zone.Drains
+	members Members
+	node    *link.Node
+	pause   *clock.PauseDetector
 
 	// resumedAt is the end of the last detected pause of the process.
 	resumedAt clock.Millis
 
 	inbox       chan message
-	newTerms    chan *contr.Terms
+	published   chan Published
 	memberLists chan memberList
 	// recordResults receives the results of writes and removals of this entry's record.
 	recordResults chan error
@@ -238,7 +250,7 @@
 		members:        m,
 		pause:          clock.NewPauseDetector(pauseLimitMS, clock.FromDuration(idleInterval)),
 		inbox:          make(chan message, inboxSize),
-		newTerms:       make(chan *contr.Terms, 1),
+		published:      make(chan Published, 1),
 		memberLists:    make(chan memberList, 1),
 		recordResults:  make(chan error, 1),
 		removals:       make(chan error, 1),
@@ -305,7 +317,7 @@
 		case <-done:
 			running--
 		case <-e.node.Events():
-		case <-e.newTerms:
+		case <-e.published:
 		case <-e.memberLists:
 			e.storeCalls--
 		case <-e.recordResults:
@@ -333,8 +345,8 @@
 			source, handle = ev.Link, func() { e.onLinkEvent(ev) }
 		case m := <-e.inbox:
 			handle = func() { m.apply(e) }
-		case terms := <-e.newTerms:
-			handle = func() { e.onTerms(terms, "store") }
+		case p := <-e.published:
+			handle = func() { e.onPublished(p) }
 		case m := <-e.memberLists:
 			handle = func() { e.onMemberList(ctx, m) }
 		case err := <-e.recordResults:
@@ -401,14 +413,14 @@
 	return idleInterval
 }
 
-// followTerms waits for new terms in the store and passes them to the entry's
-// goroutine.
+// followTerms waits for new terms and drains of zones in the store and passes them to the
+// entry's goroutine.
 func (e *Entry) followTerms(ctx context.Context, done chan<- error) {
 	version := int64(0)
 	for ctx.Err() == nil {
-		var terms *contr.Terms
+		var p Published
 		err := guard.Call("read the configuration", func() (err error) {
-			terms, err = e.termsSource.Next(ctx, version)
+			p, err = e.termsSource.Next(ctx, version)
 			return err
 		})
 		if err != nil {
@@ -416,12 +428,14 @@
 			clock.Wait(ctx, termsRetryMS)
 			continue
 		}
-		if terms == nil {
+		if p.Terms == nil && p.Drains == nil {
 			continue
 		}
-		version = terms.Version
+		if p.Terms != nil {
+			version = p.Terms.Version
+		}
 		select {
-		case e.newTerms <- terms:
+		case e.published <- p:
 		case <-ctx.Done():
 		}
 	}
--- a/internal/sched/sched_test.go
+++ b/internal/sched/sched_test.go
@@ -38,9 +38,9 @@
 // noTerms is a terms source without a configuration.
 type noTerms struct{}
 
-func (noTerms) Next(ctx context.Context, _ int64) (*contr.Terms, error) {
+func (noTerms) Next(ctx context.Context, _ int64) (Published, error) {
 	<-ctx.Done()
-	return nil, ctx.Err()
+	return Published{}, ctx.Err()
 }
 
 // The host of a record that is not renewed is considered gone.
