sched: Entries record when they started

Cause: Entry.startedAt was never set, so that the age of every entry was that of Unix time and its membership list was read each 20 s from the start on, not more often at first as docs/design/scale.md says.

Change: New sets it.

--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -266,6 +266,7 @@
 		storeReachable: true,
 		metrics:        newMetrics(),
 	}
+	e.startedAt = c.Now()
 	e.scheduler.Seed(xxhash.Sum64String(s.Self.Incarnation))
 	e.node = link.New(link.Settings{Self: s.Self, Listen: s.LinkAddress, TLS: s.TLS, IdleTimeout: entryLinkTimeoutMS}, log)
 	return e
--- a/internal/sched/sched_test.go
+++ b/internal/sched/sched_test.go
@@ -60,6 +60,38 @@
 	})
 }
 
+// readCounter counts the reads of the membership list.
+type readCounter struct {
+	fakeMembers
+	reads chan struct{}
+}
+
+func (r readCounter) Entries(context.Context) ([]roster.Record, error) {
+	r.reads <- struct{}{}
+	return nil, nil
+}
+
+// When all entries start at once, the first read misses those that started last. An entry that
+// is linked and registered once read the list again only after 20 s.
+func TestMembershipListIsReadMoreOftenRightAfterTheStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		members := readCounter{fakeMembers: fakeMembers{joins: make(chan struct{}, 1000)}, reads: make(chan struct{}, 1000)}
+		self := host.Host{Name: "e", Incarnation: host.NewIncarnation(), Role: host.RoleEntry}
+		e := New(Settings{Self: self}, clock.New(), noTerms{}, members, slog.New(slog.NewTextHandler(io.Discard, nil)))
+		linkFakeEntry(e, "o")
+		e.registered, e.recordWrittenAt = true, e.clock.Now()
+		for range 8 * 20 {
+			time.Sleep(idleInterval)
+			e.refreshMembers(t.Context(), e.clock.Now())
+			synctest.Wait()
+			for len(e.memberLists) > 0 {
+				e.onMemberList(t.Context(), <-e.memberLists)
+			}
+		}
+		require.GreaterOrEqual(t, len(members.reads), 4, "after 1, 2, 3 and 5 s or so")
+	})
+}
+
 // slowMembers takes a second for each write and records the calls in the order of their ends.
 type slowMembers struct {
 	fakeMembers
