place, sched: Jobs wait for the first workers and configuration after a start

Cause: an entry accepts connections before its agents have linked and, for some milliseconds, before it has read its configuration, and refused the jobs of that time with 503. Their callers do not submit a refused job again, while a caller who meets no listener does.

Change: for a second after the start of the entry a job is refused for want of a worker or of room only once a late answer would be of no use, and requests wait up to 500 ms for the first configuration.

--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -408,6 +408,10 @@
 	Zone string
 	// Entries is the number of entries that share the workers, including this one.
 	Entries int
+	// AwaitWorkersUntil is until when workers are expected to link that are not known yet, after a
+	// start of the entry. Until then no job is refused for want of a worker or of room while a
+	// late answer would still be of use to its caller.
+	AwaitWorkersUntil clock.Millis
 	// Draining is set while new jobs are refused.
 	Draining bool
 	// Workers maps agent incarnations to their workers.
--- a/internal/place/schedule.go
+++ b/internal/place/schedule.go
@@ -273,7 +273,7 @@
 			s.finish(j, VerdictUnknown, ReasonCallerDeadline, now)
 			continue
 		}
-		if j.group(now) != groupPastQueueDeadline {
+		if j.group(now) != groupPastQueueDeadline || s.awaitsWorkers(j, now) {
 			continue
 		}
 		j.Answered = true
@@ -284,6 +284,13 @@
 	}
 }
 
+// awaitsWorkers reports whether a job past its QueueDeadline waits on, because workers that are not
+// known yet may still give an answer that is of use to its caller.
+func (s *Scheduler) awaitsWorkers(j *Job, now clock.Millis) bool {
+	lastUsefulStart := j.LatestStart + (LateFactor-1)*j.Objective
+	return now < s.AwaitWorkersUntil && now < lastUsefulStart
+}
+
 // retryAfter returns the retry delay for callers of refused jobs: the time that the fleet
 // is predicted to need to work off its backlog, within minRetryAfterMS and
 // maxRetryAfterMS. It assumes that the other entries have the same backlog.
--- a/internal/place/submit.go
+++ b/internal/place/submit.go
@@ -24,7 +24,7 @@
 		return false
 	}
 	j := s.newJob(sub, now)
-	if reason := s.refusalReason(j); reason != ReasonNone {
+	if reason := s.refusalReason(j, now); reason != ReasonNone {
 		s.emitAnswer(Answer{Job: j, Verdict: VerdictRefused, Reason: reason, RetryAfter: minRetryAfterMS,
 			View: s.fleetView(j.Queue.Fleet, now)})
 		return true
@@ -57,10 +57,13 @@
 }
 
 // refusalReason returns why a job must be refused on arrival, or ReasonNone.
-func (s *Scheduler) refusalReason(j *Job) Reason {
+func (s *Scheduler) refusalReason(j *Job, now clock.Millis) Reason {
 	if s.Draining {
 		return ReasonDraining
 	}
+	if now < s.AwaitWorkersUntil {
+		return ReasonNone
+	}
 	fleetKnown := false
 	for _, st := range j.Spec.Steps {
 		fits := false
--- a/internal/sched/messages.go
+++ b/internal/sched/messages.go
@@ -120,7 +120,13 @@
 	e.scheduler.CallerDisconnected(m.id, e.clock.Now())
 }
 
-func (m termsQuery) apply(e *Entry) { m.answer <- e.terms }
+func (m termsQuery) apply(e *Entry) {
+	if e.terms == nil && e.clock.Now() < e.startedAt+firstTermsWaitMS {
+		e.termsQueries = append(e.termsQueries, m)
+		return
+	}
+	m.answer <- e.terms
+}
 
 func (m readyQuery) apply(e *Entry) {
 	m.answer <- e.terms != nil && e.drainAt == 0 && len(e.agents) > 0
@@ -208,7 +214,8 @@
 	}
 }
 
-// Terms returns the terms in force, or nil if there are none or ctx ends first.
+// Terms returns the terms in force, or nil if there are none or ctx ends first. Right after the
+// start of the entry it waits for the first terms.
 func (e *Entry) Terms(ctx context.Context) *contr.Terms {
 	return query(ctx, e, func(c chan *contr.Terms) message { return termsQuery{answer: c} })
 }
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -120,6 +120,14 @@
 	termsAnswerMS clock.Millis = 250
 	// termsRepeatMS is the shortest interval at which one version is sent to one entry.
 	termsRepeatMS clock.Millis = 1000
+	// firstTermsWaitMS is how long after the start of the entry requests wait for the first
+	// configuration. Their callers don't submit a refused job again, and most reads take a few
+	// milliseconds.
+	firstTermsWaitMS clock.Millis = 500
+	// workersExpectedMS is how long after the start of the entry workers are expected to link. An
+	// agent whose first handshake meets an entry that does not run yet repeats it within this
+	// time.
+	workersExpectedMS clock.Millis = 1000
 	// termsRetryMS is the delay before a failed read of the configuration is repeated.
 	termsRetryMS clock.Millis = 250
 )
@@ -154,6 +162,8 @@
 	terms *contr.Terms
 	// termsSince is when terms came into force.
 	termsSince clock.Millis
+	// termsQueries wait for the first terms.
+	termsQueries []termsQuery
 	// termsRequestedAt is when terms were last requested from a linked entry.
 	termsRequestedAt clock.Millis
 	termsSource      TermsSource
@@ -267,6 +277,7 @@
 		metrics:        newMetrics(),
 	}
 	e.startedAt = c.Now()
+	e.scheduler.AwaitWorkersUntil = e.startedAt + workersExpectedMS
 	e.scheduler.Seed(xxhash.Sum64String(s.Self.Incarnation))
 	e.node = link.New(link.Settings{Self: s.Self, Listen: s.LinkAddress, TLS: s.TLS, IdleTimeout: entryLinkTimeoutMS}, log)
 	return e
@@ -313,6 +324,7 @@
 	for id := range e.waiters {
 		e.replyTo(id, Reply{Verdict: place.VerdictUnknown, Reason: place.ReasonDraining})
 	}
+	e.answerTermsQueries()
 	for running := entryGoroutines; running > 0 || e.storeCalls > 0; {
 		select {
 		case <-done:
@@ -478,6 +490,9 @@
 	e.sendRoster(now)
 	e.sendCancels(now)
 	e.requestTerms(now)
+	if now >= e.startedAt+firstTermsWaitMS {
+		e.answerTermsQueries()
+	}
 }
 
 // startDrain begins a graceful shutdown: the entry reports that it is not ready and
--- a/internal/sched/sched_test.go
+++ b/internal/sched/sched_test.go
@@ -323,3 +323,18 @@
 		require.Empty(t, sent(), "the newest version is in force")
 	})
 }
+
+// A request that arrives while an entry reads its first configuration is refused, and its caller
+// does not come back.
+func TestFirstRequestsWaitForTheConfiguration(t *testing.T) {
+	e := newTestEntry(t)
+	first, second := make(chan *contr.Terms, 1), make(chan *contr.Terms, 1)
+	termsQuery{answer: first}.apply(e)
+	require.Empty(t, first)
+	e.onTerms(&contr.Terms{Version: 7}, "store")
+	require.Equal(t, int64(7), (<-first).Version)
+	e.terms = nil
+	e.startedAt -= firstTermsWaitMS
+	termsQuery{answer: second}.apply(e)
+	require.Nil(t, <-second, "the store is away for longer")
+}
--- a/internal/sched/terms.go
+++ b/internal/sched/terms.go
@@ -18,6 +18,7 @@
 		return
 	}
 	e.terms, e.termsSince = t, e.clock.Now()
+	e.answerTermsQueries()
 	e.log.Info("configuration in force", "version", t.Version, "from", from, "queues", len(t.Queues))
 	for _, other := range e.linkedEntries {
 		if other.termsVersion <= t.Version {
@@ -29,6 +30,14 @@
 	}
 }
 
+// answerTermsQueries answers the queries that wait for the first terms.
+func (e *Entry) answerTermsQueries() {
+	for _, q := range e.termsQueries {
+		q.answer <- e.terms
+	}
+	e.termsQueries = nil
+}
+
 // onEntryState handles the state of a linked entry. It sends the configuration to an entry
 // that has an older one than this entry.
 func (e *Entry) onEntryState(other *linkedEntry, m *wire.Pulse) {
