--- a/internal/runner/metrics.go
+++ b/internal/runner/metrics.go
@@ -84,6 +84,20 @@
 	metrics.WriteProcessMetrics(w)
 }
 
+// Refuse answers the metrics queries that arrive after Run has returned, until ctx ends, and then
+// sends nil to done. It acknowledges no announcements: a worker repeats them.
+func (a *Agent) Refuse(ctx context.Context, done chan<- error) {
+	for {
+		select {
+		case q := <-a.gaugeQueries:
+			q <- a.gauges()
+		case <-ctx.Done():
+			done <- nil
+			return
+		}
+	}
+}
+
 func boolValue(b bool) float64 {
 	if b {
 		return 1
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -338,13 +338,33 @@
 		case <-e.removals:
 			e.storeCalls--
 		case m := <-e.inbox:
-			e.scheduler.Draining = true
-			m.apply(e) // the sender waits for an answer
-			e.performActions()
+			e.refuse(m)
 		}
 	}
 }
 
+// Refuse answers the messages of callers that arrive after Run has returned, until ctx ends, and
+// then sends nil to done. The HTTP servers close after the entry, so that they still read requests.
+func (e *Entry) Refuse(ctx context.Context, done chan<- error) {
+	for {
+		select {
+		case m := <-e.inbox:
+			e.refuse(m)
+		case <-ctx.Done():
+			done <- nil
+			return
+		}
+	}
+}
+
+// refuse answers a message without accepting a job.
+func (e *Entry) refuse(m message) {
+	e.scheduler.Draining = true
+	m.apply(e)
+	e.answerTermsQueries()
+	e.performActions()
+}
+
 func (e *Entry) loop(ctx context.Context) error {
 	t := time.NewTimer(busyInterval)
 	defer t.Stop()
