sched: A cancellation survives its entry, and late copies of cancelled jobs run nothing

Cause: a cancellation was passed on up to 50 ms after it had been acknowledged, and not at all by the entry that held the job; no entry remembered it.

Change: every cancellation is passed on, and acknowledged once the linked entries have handled it, or after 500 ms. Entries count the frames that they have handled in their state (cancels_handled). Every entry remembers cancelled jobs for 15 s, at most 10,000, and answers a copy of their submission as cancelled.

--- a/internal/sched/cancel.go
+++ b/internal/sched/cancel.go
@@ -3,7 +3,6 @@
 import (
 	"github.com/turmericbarrow/turmericbarrow/internal/clock"
 	"github.com/turmericbarrow/turmericbarrow/internal/jobs"
-	"github.com/turmericbarrow/turmericbarrow/internal/link"
 	"github.com/turmericbarrow/turmericbarrow/internal/wire"
 )
 
@@ -82,26 +81,29 @@
 // sendCancels passes the collected cancellations on to the linked entries.
 func (e *Entry) sendCancels(now clock.Millis) {
 	taken := e.cancels.take(now)
-	if taken == nil {
-		return
-	}
 	for incarnation, other := range e.linkedEntries {
 		if ids := idsExcept(taken, incarnation); len(ids) > 0 {
 			// Earlier versions read the first job only.
 			m := &wire.CancelJob{Job: ids[0], Jobs: ids[1:]}
 			other.link.Send(&wire.Frame{Body: &wire.Frame_CancelJob{CancelJob: m}})
+			other.cancelsSent++
 		}
 	}
+	if len(e.cancels.pending) == 0 {
+		e.markCancelsSent()
+	}
 }
 
-// onCancels cancels the jobs that this entry holds, and passes the other cancellations on.
+// onCancels cancels the jobs that this entry holds, passes all cancellations on and confirms them.
 // An entry can't tell whether all entries are linked to each other, since it may not have
 // seen the newest ones on the list.
-func (e *Entry) onCancels(l *link.Link, m *wire.CancelJob) {
+func (e *Entry) onCancels(other *linkedEntry, m *wire.CancelJob) {
 	now := e.clock.Now()
 	for _, id := range append(m.GetJobs(), m.GetJob()) {
-		if !e.scheduler.Cancel(jobs.ID(id), now) {
-			e.cancels.add(jobs.ID(id), l.Peer.Incarnation, now)
-		}
+		e.cancelled.add(jobs.ID(id), now)
+		e.scheduler.Cancel(jobs.ID(id), now)
+		e.cancels.add(jobs.ID(id), other.link.Peer.Incarnation, now)
 	}
+	other.cancelsHandled++
+	e.sendState(other)
 }
--- a/internal/sched/cancel_test.go
+++ b/internal/sched/cancel_test.go
@@ -3,11 +3,15 @@
 import (
 	"fmt"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"github.com/turmericbarrow/turmericbarrow/internal/clock"
 	"github.com/turmericbarrow/turmericbarrow/internal/jobs"
+	"github.com/turmericbarrow/turmericbarrow/internal/place"
+	"github.com/turmericbarrow/turmericbarrow/internal/wire"
 )
 
 // relayAll passes a cancellation on among entries that are linked to their neighbours only,
@@ -59,3 +63,61 @@
 	r.add("later", "", cancelIntervalMS+cancelMemoryMS+2)
 	require.Nil(t, r.take(cancelIntervalMS+cancelMemoryMS+2), "the last ones were taken a moment ago")
 }
+
+// An entry that was killed right after it had acknowledged a cancellation had not passed it on,
+// and the job went on at the entry that held it.
+func TestCancellationIsAcknowledgedOnceTheLinkedEntriesHaveIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := newTestEntry(t)
+		other, sent := linkFakeEntry(e, "o")
+		answer := make(chan bool, 1)
+		cancelRequest{id: "a", answer: answer}.apply(e)
+		require.Empty(t, answer)
+		time.Sleep(cancelIntervalMS.Duration())
+		e.sendCancels(e.clock.Now())
+		require.Equal(t, "a", sent()[0].GetCancelJob().GetJob())
+		require.Empty(t, answer, "the other entry may not have it yet")
+		e.onFrame(other.link, &wire.Frame{Body: &wire.Frame_Pulse{Pulse: &wire.Pulse{CancelsHandled: 1}}})
+		require.False(t, <-answer, "this entry does not hold the job")
+	})
+}
+
+func TestCancellationIsAcknowledgedThoughALinkedEntryIsSilent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := newTestEntry(t)
+		linkFakeEntry(e, "o")
+		answer := make(chan bool, 1)
+		cancelRequest{id: "a", answer: answer}.apply(e)
+		time.Sleep(maxCancelAckMS.Duration())
+		e.acknowledgeCancels(e.clock.Now())
+		require.Len(t, answer, 1)
+	})
+}
+
+// A copy of a submission that arrived at another entry after the job was cancelled started its
+// tasks again.
+func TestLateCopyOfACancelledJobIsNotPlaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := newTestEntry(t)
+		other, sent := linkFakeEntry(e, "o")
+		e.onFrame(other.link, &wire.Frame{Body: &wire.Frame_CancelJob{CancelJob: &wire.CancelJob{Job: "a"}}})
+		require.Equal(t, uint64(1), sent()[0].GetPulse().GetCancelsHandled())
+		time.Sleep(4 * time.Second)
+		w := &waiter{reply: make(chan Reply, 1)}
+		submit{request: Request{Spec: jobs.Spec{ID: "a"}}, waiter: w, caller: t.Context(), sentAt: e.clock.Now()}.apply(e)
+		require.Equal(t, place.VerdictCancelled, (<-w.reply).Verdict)
+		require.Empty(t, e.scheduler.Jobs)
+	})
+}
+
+func TestMemoryOfCancelledJobsIsBounded(t *testing.T) {
+	c := newCancelledJobs()
+	for i := range maxCancelledJobs + 1 {
+		c.add(jobs.ID(fmt.Sprint(i)), clock.Millis(i))
+	}
+	require.Len(t, c.at, maxCancelledJobs)
+	require.False(t, c.has("0", maxCancelledJobs), "the oldest is forgotten first")
+	require.True(t, c.has("1", maxCancelledJobs))
+	c.add("later", 2*cancelledMemoryMS)
+	require.Len(t, c.at, 1)
+}
--- /dev/null
+++ b/internal/sched/cancelled.go
@@ -0,0 +1,45 @@
+package sched
+
+import (
+	"github.com/turmericbarrow/turmericbarrow/internal/clock"
+	"github.com/turmericbarrow/turmericbarrow/internal/jobs"
+)
+
+const (
+	// cancelledMemoryMS is how long an entry remembers a cancelled job. Copies of a submission
+	// arrive up to some seconds late.
+	cancelledMemoryMS clock.Millis = 15_000
+	// maxCancelledJobs bounds the memory. When it is exceeded the oldest is forgotten, and a copy of
+	// its submission that arrives later runs.
+	maxCancelledJobs = 10_000
+)
+
+// cancelledJobs remembers the jobs that were cancelled, at this entry or any other, so that a late
+// copy of a submission does not start a cancelled job again.
+type cancelledJobs struct {
+	at    map[jobs.ID]clock.Millis
+	order []jobs.ID
+}
+
+func newCancelledJobs() *cancelledJobs {
+	return &cancelledJobs{at: map[jobs.ID]clock.Millis{}}
+}
+
+// add remembers a cancelled job from now on.
+func (c *cancelledJobs) add(id jobs.ID, now clock.Millis) {
+	if _, known := c.at[id]; known || id == "" {
+		return
+	}
+	for len(c.order) > 0 && (len(c.order) >= maxCancelledJobs || now-c.at[c.order[0]] > cancelledMemoryMS) {
+		delete(c.at, c.order[0])
+		c.order = c.order[1:]
+	}
+	c.at[id] = now
+	c.order = append(c.order, id)
+}
+
+// has reports whether a job was cancelled in the last cancelledMemoryMS.
+func (c *cancelledJobs) has(id jobs.ID, now clock.Millis) bool {
+	at, known := c.at[id]
+	return known && now-at <= cancelledMemoryMS
+}
--- a/internal/sched/links.go
+++ b/internal/sched/links.go
@@ -247,7 +247,7 @@
 		}
 		e.onTerms(terms, l.Peer.Name)
 	case *wire.Frame_CancelJob:
-		e.onCancels(l, b.CancelJob)
+		e.onCancels(other, b.CancelJob)
 	case *wire.Frame_ZoneDrains:
 		e.onDrainsFrame(other, b.ZoneDrains)
 	}
@@ -272,7 +272,9 @@
 
 // sendState sends this entry's state to another entry.
 func (e *Entry) sendState(other *linkedEntry) {
-	other.link.Send(e.entryStateFrame())
+	f := e.entryStateFrame()
+	f.GetPulse().CancelsHandled = other.cancelsHandled
+	other.link.Send(f)
 }
 
 // entryStateFrame returns the state that this entry sends to other entries: its number of
--- a/internal/sched/messages.go
+++ b/internal/sched/messages.go
@@ -64,6 +64,11 @@
 		m.waiter.reply <- Reply{Verdict: place.VerdictRefused, Reason: reason, TermsVersion: m.request.TermsVersion, RetryAfter: staleRetryAfter}
 		return
 	}
+	if e.cancelled.has(id, now) {
+		e.log.Info("job rejected", "job", string(id), "request", m.request.RequestID, "reason", "cancelled", "waited_ms", int64(now-m.sentAt))
+		m.waiter.reply <- Reply{Verdict: place.VerdictCancelled, TermsVersion: m.request.TermsVersion}
+		return
+	}
 	e.waiters[id] = []*waiter{m.waiter}
 	e.requestIDs[id] = m.request.RequestID
 	accepted := e.scheduler.Submit(place.Submission{
@@ -142,9 +147,11 @@
 	held := e.scheduler.Cancel(m.id, now)
 	if !held {
 		e.log.Log(context.Background(), dlog.LevelOrdinary, "cancellation passed on", "job", string(m.id))
-		e.cancels.add(m.id, "", now)
 	}
-	m.answer <- held
+	e.cancelled.add(m.id, now)
+	e.cancels.add(m.id, "", now)
+	e.unconfirmed = append(e.unconfirmed, &unconfirmedCancel{held: held, answer: m.answer,
+		awaits: map[string]uint64{}, expiresAt: now + maxCancelAckMS})
 }
 
 func (m unstartedJobsQuery) apply(e *Entry) {
@@ -232,8 +239,8 @@
 	return query(ctx, e, func(c chan jobs.State) message { return stateQuery{id: id, answer: c} })
 }
 
-// Cancel cancels an unanswered job that this entry holds. For any other job it passes the
-// cancellation on to all entries and returns false.
+// Cancel cancels a job, and passes the cancellation on to all entries. It returns once the linked
+// entries have it, and reports whether this entry held the job unanswered.
 func (e *Entry) Cancel(ctx context.Context, id jobs.ID) bool {
 	return query(ctx, e, func(c chan bool) message { return cancelRequest{id: id, answer: c} })
 }
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -201,6 +201,10 @@
 	selectedAt clock.Millis
 	// cancels passes cancellations on to the entries that are not linked.
 	cancels *cancelRelay
+	// unconfirmed holds the cancellations to be acknowledged, cancelled the jobs that were
+	// cancelled lately.
+	unconfirmed []*unconfirmedCancel
+	cancelled   *cancelledJobs
 	// rosterChanged is set while the linked entries differ from those that the agents were
 	// told at rosterSentAt.
 	rosterChanged bool
@@ -247,6 +251,11 @@
 	termsSentVersion int64
 	termsSentAt      clock.Millis
 	unstartedJobs    map[string]int32
+	// cancelsSent and cancelsHandled count the frames with cancellations that this entry has sent
+	// to the other one and handled from it, cancelsConfirmed those sent that the other has handled.
+	cancelsSent      uint64
+	cancelsHandled   uint64
+	cancelsConfirmed uint64
 }
 
 // New returns an entry. Call Open before Run.
@@ -273,6 +282,7 @@
 		linkedEntries:  map[string]*linkedEntry{},
 		selector:       roster.NewSelector(s.Self.Name, s.Seeds, entryLinks, maxMeshEntries, c.Now()),
 		cancels:        newCancelRelay(),
+		cancelled:      newCancelledJobs(),
 		storeReachable: true,
 		metrics:        newMetrics(),
 	}
@@ -325,6 +335,7 @@
 		e.replyTo(id, Reply{Verdict: place.VerdictUnknown, Reason: place.ReasonDraining})
 	}
 	e.answerTermsQueries()
+	e.acknowledgeAllCancels()
 	for running := entryGoroutines; running > 0 || e.storeCalls > 0; {
 		select {
 		case <-done:
@@ -362,6 +373,7 @@
 	e.scheduler.Draining = true
 	m.apply(e)
 	e.answerTermsQueries()
+	e.acknowledgeAllCancels()
 	e.performActions()
 }
 
@@ -509,6 +521,7 @@
 	}
 	e.sendRoster(now)
 	e.sendCancels(now)
+	e.acknowledgeCancels(now)
 	e.requestTerms(now)
 	if now >= e.startedAt+firstTermsWaitMS {
 		e.answerTermsQueries()
--- a/internal/sched/terms.go
+++ b/internal/sched/terms.go
@@ -44,6 +44,8 @@
 	now := e.clock.Now()
 	other.termsVersion = m.GetTermsVersion()
 	other.unstartedJobs = m.GetWaiting()
+	other.cancelsConfirmed = max(other.cancelsConfirmed, m.GetCancelsHandled())
+	e.acknowledgeCancels(now)
 	switch version := e.termsVersion(); {
 	case other.termsVersion > version:
 		if other.behindSince == 0 {
