contr: Report every wrong value of a contract or of terms

Cause: A check has to report all errors at once with their line and field. Parse and Terms.Check stop at the first, and errors of the decoder and of terms carry no position. Change: ParseAll and CheckAll return all errors; Parse and Check return the first of the same list. Decoding errors are TextErrors with line and field, errors of terms ValueErrors with a path.

--- a/internal/contr/contr.go
+++ b/internal/contr/contr.go
@@ -10,7 +10,6 @@
 	"strings"
 
 	"github.com/goccy/go-yaml"
-	"github.com/juju/errors"
 
 	"github.com/turmericbarrow/turmericbarrow/internal/clock"
 )
@@ -105,7 +104,7 @@
 
 // Bounds on a contract's text, so that a document fits into one record of the log.
 const (
-	maxTextBytes  = 64 << 10
+	MaxTextBytes  = 64 << 10
 	maxKinds      = 64
 	maxDeadlineMS = int64(600_000)
 )
@@ -113,21 +112,29 @@
 var namePattern = regexp.MustCompile(`^[a-z][a-z0-9_-]{0,62}$`)
 
 // Parse decodes and validates one contract. Errors refer to the text by the name file. A
-// value that violates a constraint is reported as a *FieldError.
+// value that violates a constraint is reported as a *FieldError, and a text that can't be
+// decoded as a *TextError.
 func Parse(file string, text []byte) (*Contract, error) {
-	if len(text) > maxTextBytes {
-		return nil, errors.Errorf("parse contract %s: %d bytes are over the limit of %d", file, len(text), maxTextBytes)
+	c, problems := ParseAll(file, text)
+	if len(problems) > 0 {
+		return nil, problems[0]
+	}
+	return c, nil
+}
+
+// ParseAll is like Parse, but returns an error for each violated constraint. The contract is
+// nil only if the text can't be decoded.
+func ParseAll(file string, text []byte) (*Contract, []error) {
+	if err := checkText(file, text); err != nil {
+		return nil, []error{err}
 	}
 	c := &Contract{}
 	d := yaml.NewDecoder(bytes.NewReader(text), yaml.Strict())
 	if err := d.Decode(c); err != nil {
-		return nil, errors.Annotatef(err, "parse contract %s", file)
+		return nil, []error{newTextError(file, text, err)}
 	}
 	c.setDefaults()
-	if err := c.validate(file, text); err != nil {
-		return nil, err
-	}
-	return c, nil
+	return c, c.validate(file, text)
 }
 
 func (c *Contract) setDefaults() {
@@ -145,17 +152,18 @@
 	reason   string
 }
 
-func (c *Contract) validate(file string, text []byte) error {
+func (c *Contract) validate(file string, text []byte) []error {
 	constraints := c.constraints()
 	for i := range c.Kinds {
 		constraints = append(constraints, c.kindConstraints(i)...)
 	}
+	var errs []error
 	for _, ct := range constraints {
 		if ct.violated {
-			return &FieldError{File: file, Line: lineOf(text, ct.path), Field: ct.path, Reason: ct.reason}
+			errs = append(errs, &FieldError{File: file, Line: LineOf(text, ct.path), Field: ct.path, Reason: ct.reason})
 		}
 	}
-	return nil
+	return errs
 }
 
 // constraints returns the constraints on the contract's fields, except those of its kinds.
@@ -167,7 +175,7 @@
 		{!(c.Share > 0 && c.Share <= 1e6), "share", "want above 0, at most 1000000"},
 		{c.FloorSlots < 0, "floor_slots", "want 0 or more"},
 		{c.CeilingSlots < 0, "ceiling_slots", "want 0 or more"},
-		{c.CeilingSlots > 0 && c.FloorSlots > c.CeilingSlots, "floor_slots", "is above ceiling_slots"},
+		{c.CeilingSlots > 0 && c.FloorSlots > c.CeilingSlots, "floor_slots", "is above ceiling_slots; want at most ceiling_slots"},
 		{!(c.Rate.PerSecond > 0 && c.Rate.PerSecond <= 1e6), "rate.per_second", "want above 0, at most 1000000"},
 		{!(c.Rate.Burst >= 1 && c.Rate.Burst <= 1e6), "rate.burst", "want 1 to 1000000"},
 		{c.Queue < 1 || c.Queue > 1e6, "queue", "want 1 to 1000000"},
@@ -188,17 +196,17 @@
 	field := func(name string) string { return fmt.Sprintf("kinds[%d].%s", i, name) }
 	return []constraint{
 		{!namePattern.MatchString(k.Name), field("name"), "want a lower-case name"},
-		{c.Kind(k.Name) != &c.Kinds[i], field("name"), "stands twice"},
+		{c.Kind(k.Name) != &c.Kinds[i], field("name"), "stands twice; want unique names"},
 		{!(k.Share > 0 && k.Share <= 1e6), field("share"), "want above 0, at most 1000000"},
 		{k.Priority != PriorityOrdinary && k.Priority != PriorityUrgent, field("priority"), "want ordinary or urgent"},
 		{k.DeadlineMS < 1 || k.DeadlineMS > maxDeadlineMS, field("deadline_ms"), "want 1 to 600000"},
-		{k.Hedge && !k.Idempotent, field("hedge"), "needs idempotent: true"},
+		{k.Hedge && !k.Idempotent, field("hedge"), "needs idempotent: true; want hedge: false otherwise"},
 	}
 }
 
-// lineOf returns the line of a field. For a missing field it returns the line of the nearest
+// LineOf returns the line of a field. For a missing field it returns the line of the nearest
 // enclosing field that is present in the text, or 1 if there is none.
-func lineOf(text []byte, path string) int {
+func LineOf(text []byte, path string) int {
 	for path != "" {
 		if line := exactLineOf(text, path); line > 0 {
 			return line
--- a/internal/contr/contr_test.go
+++ b/internal/contr/contr_test.go
@@ -64,6 +64,17 @@
 	}
 }
 
+// Only the first of several wrong values used to be reported.
+func TestParseAllReportsEveryWrongValue(t *testing.T) {
+	text := strings.NewReplacer("share: 2", "share: 0", "queue: 5", "queue: 0").Replace(contractText(2, "ab"))
+	_, errs := contr.ParseAll("f", []byte(text))
+	require.Len(t, errs, 2)
+	require.ErrorContains(t, errs[1], "f:6: queue: want 1 to 1000000")
+	terms := &contr.Terms{Queues: []contr.Queue{{SlackMS: -1, Stretch: -1}}}
+	require.Len(t, terms.CheckAll(), 3)
+	require.EqualError(t, terms.Check(), "version: 0 is out of range; want 1 to 9007199254740991")
+}
+
 func TestConcurrentAmendmentsHaveOneWinner(t *testing.T) {
 	config := contr.NewConfig()
 	require.True(t, config.Amend(3, contr.Amendment{Author: "ana", Base: contr.NoVersion, Name: "contract/c", Text: contractText(1, "ab")}).Accepted)
--- a/internal/contr/terms.go
+++ b/internal/contr/terms.go
@@ -1,10 +1,9 @@
 package contr
 
 import (
+	"fmt"
 	"strings"
 
-	"github.com/juju/errors"
-
 	"github.com/turmericbarrow/turmericbarrow/internal/clock"
 )
 
@@ -68,53 +67,68 @@
 	maxCount                = 1 << 31
 )
 
+// ValueError reports a value of terms that is out of range.
+type ValueError struct {
+	// Path names the value by the snake-case names of its fields, such as
+	// queues[2].slack_ms.
+	Path string
+	// Reason says what is wrong, followed by "; want" and what would be correct.
+	Reason string
+}
+
+// Error returns the path and the reason.
+func (e *ValueError) Error() string { return e.Path + ": " + e.Reason }
+
 // Check returns an error if a value of the terms is out of range.
 func (t *Terms) Check() error {
-	if t.Version < 1 || t.Version >= maxVersion {
-		return errors.Errorf("version %d: out of range", t.Version)
+	if errs := t.CheckAll(); len(errs) > 0 {
+		return errs[0]
 	}
-	for _, q := range t.Queues {
-		if err := q.check(); err != nil {
-			return errors.Annotatef(err, "queue %s", q.Name)
-		}
+	return nil
+}
+
+// CheckAll returns an error for each value of the terms that is out of range.
+func (t *Terms) CheckAll() []*ValueError {
+	c := &termsCheck{}
+	c.number("", "version", t.Version, 1, maxVersion-1)
+	for i, q := range t.Queues {
+		c.queue(fmt.Sprintf("queues[%d].", i), q)
 	}
-	for _, f := range t.Fleets {
-		if !isCount(int64(f.MaxConnections)) {
-			return errors.Errorf("fleet %s: maximum of connections %d: out of range", f.Name, f.MaxConnections)
-		}
+	for i, f := range t.Fleets {
+		c.number(fmt.Sprintf("fleets[%d].", i), "max_connections", int64(f.MaxConnections), 0, maxCount-1)
 	}
-	return errors.Annotate(t.Limits.check(), "HTTP limits")
+	c.number("limits.", "header_bytes", int64(t.Limits.HeaderBytes), 0, maxCount-1)
+	c.number("limits.", "body_bytes", t.Limits.BodyBytes, 0, maxCount-1)
+	c.number("limits.", "header_timeout_ms", int64(t.Limits.HeaderTimeoutMS), 0, int64(maxTermsMS))
+	c.number("limits.", "idle_timeout_ms", int64(t.Limits.IdleTimeoutMS), 0, int64(maxTermsMS))
+	return c.errs
 }
 
-func (q *Queue) check() error {
-	switch {
-	case !isDuration(q.SlackMS):
-		return errors.Errorf("slack %d ms: out of range", q.SlackMS)
-	case !isDuration(q.TimeoutMS):
-		return errors.Errorf("timeout %d ms: out of range", q.TimeoutMS)
-	case !(q.Stretch >= 0 && q.Stretch <= maxStretch):
-		return errors.Errorf("stretch %g: out of range", q.Stretch)
-	case !isCount(int64(q.MaxAttempts)):
-		return errors.Errorf("maximum of attempts %d: out of range", q.MaxAttempts)
-	case q.Priority <= -maxCount || q.Priority >= maxCount:
-		return errors.Errorf("priority %d: out of range", q.Priority)
-	}
-	return nil
+// termsCheck collects the errors of one check of terms.
+type termsCheck struct {
+	errs []*ValueError
 }
 
-func (l *HTTPLimits) check() error {
-	switch {
-	case !isCount(int64(l.HeaderBytes)) || !isCount(l.BodyBytes):
-		return errors.Errorf("sizes of %d and %d bytes: out of range", l.HeaderBytes, l.BodyBytes)
-	case !isDuration(l.HeaderTimeoutMS) || !isDuration(l.IdleTimeoutMS):
-		return errors.Errorf("timeouts of %d and %d ms: out of range", l.HeaderTimeoutMS, l.IdleTimeoutMS)
+func (c *termsCheck) queue(path string, q Queue) {
+	c.number(path, "slack_ms", int64(q.SlackMS), 0, int64(maxTermsMS))
+	c.number(path, "timeout_ms", int64(q.TimeoutMS), 0, int64(maxTermsMS))
+	if !(q.Stretch >= 0 && q.Stretch <= maxStretch) {
+		c.add(path+"stretch", fmt.Sprintf("%g is out of range; want 0 to %d", q.Stretch, maxStretch))
 	}
-	return nil
+	c.number(path, "max_attempts", int64(q.MaxAttempts), 0, maxCount-1)
+	c.number(path, "priority", int64(q.Priority), -maxCount+1, maxCount-1)
 }
 
-func isCount(n int64) bool { return n >= 0 && n < maxCount }
+// number checks that a value is from low to high.
+func (c *termsCheck) number(parent, field string, value, low, high int64) {
+	if value < low || value > high {
+		c.add(parent+field, fmt.Sprintf("%d is out of range; want %d to %d", value, low, high))
+	}
+}
 
-func isDuration(d clock.Millis) bool { return d >= 0 && d <= maxTermsMS }
+func (c *termsCheck) add(path, reason string) {
+	c.errs = append(c.errs, &ValueError{Path: path, Reason: reason})
+}
 
 // NewerThan reports whether t replaces other. A process never returns to older terms.
 func (t *Terms) NewerThan(other *Terms) bool {
--- /dev/null
+++ b/internal/contr/text.go
@@ -0,0 +1,78 @@
+package contr
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+
+	"github.com/goccy/go-yaml"
+	"github.com/juju/errors"
+)
+
+// maxExcerptLine is the longest line, in bytes, of a text that errors quote. The decoder takes
+// seconds to quote a line of 64 KiB.
+const maxExcerptLine = 1000
+
+// TextError reports a text that can't be decoded.
+type TextError struct {
+	File string
+	// Line is the line of the error, or 1 if it concerns the text as a whole.
+	Line int
+	// Field is the name of an unknown field, and empty for all other errors.
+	Field string
+	// Reason is one line.
+	Reason string
+	// Detail is the reason with its position, and with the lines around it if these are short.
+	Detail string
+}
+
+// Error returns the file and the detail.
+func (e *TextError) Error() string {
+	return fmt.Sprintf("parse contract %s: %s", e.File, e.Detail)
+}
+
+// checkText returns why a text is not given to the decoder, or nil.
+func checkText(file string, text []byte) error {
+	if len(text) > MaxTextBytes {
+		return plainTextError(file, 1, fmt.Sprintf("the text is over the limit of %d bytes", MaxTextBytes))
+	}
+	return nil
+}
+
+func plainTextError(file string, line int, reason string) *TextError {
+	return &TextError{File: file, Line: line, Reason: reason, Detail: reason}
+}
+
+// newTextError returns the error for a text that the decoder rejected.
+func newTextError(file string, text []byte, err error) *TextError {
+	var positioned yaml.Error
+	if !errors.As(err, &positioned) {
+		return plainTextError(file, 1, firstLine(err.Error()))
+	}
+	e := &TextError{File: file, Line: 1, Reason: firstLine(positioned.GetMessage())}
+	e.Detail = positioned.FormatError(false, longestLine(text) <= maxExcerptLine)
+	t := positioned.GetToken()
+	if t == nil {
+		return e
+	}
+	e.Line = t.Position.Line
+	var unknown *yaml.UnknownFieldError
+	if errors.As(err, &unknown) {
+		e.Field = t.Value
+	}
+	return e
+}
+
+func firstLine(text string) string {
+	line, _, _ := strings.Cut(text, "\n")
+	return line
+}
+
+// longestLine returns the length of the longest line in bytes.
+func longestLine(text []byte) int {
+	longest := 0
+	for line := range bytes.Lines(text) {
+		longest = max(longest, len(line))
+	}
+	return longest
+}
