contr: Refuse contracts nested deeper than 32 levels

Cause: The decoder's memory grows with the square of the nesting. A contract of 64 KiB of opening brackets took 8,275 MB and 5.3 s in Parse, which each process calls on every amendment that it reads from the log. Change: The tokens are counted before the decoder sees the text: open brackets, and entries and keys that nest on one line.

--- a/internal/contr/contr_test.go
+++ b/internal/contr/contr_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"runtime"
 	"strings"
 	"testing"
 
@@ -64,6 +65,18 @@
 	}
 }
 
+// A contract of 64 KiB of opening brackets took 8 GB in each process that read it from the log.
+func TestDeepNestingIsRefusedBeforeItIsDecoded(t *testing.T) {
+	for _, text := range []string{strings.Repeat("[", 65_000), strings.Repeat("{a: ", 16_000), strings.Repeat("- ", 32_000), strings.Repeat("? ", 32_000)} {
+		before, after := runtime.MemStats{}, runtime.MemStats{}
+		runtime.ReadMemStats(&before)
+		_, err := contr.Parse("f", []byte("customer: c\n"+text))
+		runtime.ReadMemStats(&after)
+		require.ErrorContains(t, err, "nested deeper than 32 levels")
+		require.Less(t, after.TotalAlloc-before.TotalAlloc, uint64(64<<20))
+	}
+}
+
 // Only the first of several wrong values used to be reported.
 func TestParseAllReportsEveryWrongValue(t *testing.T) {
 	text := strings.NewReplacer("share: 2", "share: 0", "queue: 5", "queue: 0").Replace(contractText(2, "ab"))
--- a/internal/contr/text.go
+++ b/internal/contr/text.go
@@ -6,9 +6,15 @@
 	"strings"
 
 	"github.com/goccy/go-yaml"
+	"github.com/goccy/go-yaml/lexer"
+	"github.com/goccy/go-yaml/token"
 	"github.com/juju/errors"
 )
 
+// maxNesting bounds the nesting of a contract's text. The decoder's memory grows with the
+// square of the nesting: 64 KiB of opening brackets took 8 GB.
+const maxNesting = 32
+
 // maxExcerptLine is the longest line, in bytes, of a text that errors quote. The decoder takes
 // seconds to quote a line of 64 KiB.
 const maxExcerptLine = 1000
@@ -36,6 +42,9 @@
 	if len(text) > MaxTextBytes {
 		return plainTextError(file, 1, fmt.Sprintf("the text is over the limit of %d bytes", MaxTextBytes))
 	}
+	if line := deepLine(text); line > 0 {
+		return plainTextError(file, line, fmt.Sprintf("nested deeper than %d levels", maxNesting))
+	}
 	return nil
 }
 
@@ -76,3 +85,27 @@
 	}
 	return longest
 }
+
+// deepLine returns the first line at which the text is nested deeper than maxNesting, or 0.
+// Entries of sequences and keys nest without brackets if they follow each other on one line;
+// nesting by indentation stays shallow, because each level lengthens all lines below it.
+func deepLine(text []byte) int {
+	brackets, onLine, line := 0, 0, 0
+	for _, t := range lexer.Tokenize(string(text)) {
+		if t.Position.Line != line {
+			line, onLine = t.Position.Line, 0
+		}
+		switch t.Type {
+		case token.SequenceStartType, token.MappingStartType:
+			brackets++
+		case token.SequenceEndType, token.MappingEndType:
+			brackets--
+		case token.SequenceEntryType, token.MappingKeyType:
+			onLine++
+		}
+		if brackets > maxNesting || onLine > maxNesting {
+			return line
+		}
+	}
+	return 0
+}
