--- /dev/null
+++ b/internal/check/fields.go
@@ -0,0 +1,181 @@
+package check
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+)
+
+// FieldMisspelt is the rule for names of fields that are unknown and resemble a known one.
+// Decoders that ignore unknown fields ignore these too.
+var FieldMisspelt = Rule{"field_misspelt", "an unknown field is ignored, and the one that is meant keeps its default"}
+
+// maxFieldDepth is the depth, in objects and lists, to which WalkFields reports fields.
+const maxFieldDepth = 4
+
+// WalkFields calls visit for each field and list element of a JSON text with its path, such as
+// queues[2].name, its own name, which is empty for elements, and its line. It only finds
+// positions, which decoders of messages do not report, and ends at the first syntax error.
+func WalkFields(text []byte, visit func(path, name string, line int)) {
+	w := &fieldWalk{text: text, decoder: json.NewDecoder(bytes.NewReader(text)), visit: visit, line: 1}
+	for w.step() {
+	}
+}
+
+// fieldWalk is the state of one walk.
+type fieldWalk struct {
+	text    []byte
+	decoder *json.Decoder
+	visit   func(path, name string, line int)
+	// levels are the open objects and lists, at most maxFieldDepth.
+	levels []level
+	// depth is the number of open objects and lists.
+	depth int
+	// line is the line of the byte at offset, counted so far.
+	line   int
+	offset int64
+}
+
+// level is an open object or list.
+type level struct {
+	path   string
+	isList bool
+	// next is the index of a list's next element.
+	next int
+	// path of the value that follows, if hasKey is set.
+	valuePath string
+	hasKey    bool
+}
+
+// step reads one token, and returns false at the end.
+func (w *fieldWalk) step() bool {
+	t, err := w.decoder.Token()
+	if err != nil {
+		return false
+	}
+	d, isDelim := t.(json.Delim)
+	if isDelim && (d == '}' || d == ']') {
+		w.close()
+		return true
+	}
+	if w.depth > len(w.levels) {
+		w.open(isDelim, d, "")
+		return true
+	}
+	path, isValue := w.place(t)
+	if isValue {
+		w.open(isDelim, d, path)
+	}
+	return true
+}
+
+// place reports a key or a list's element. It returns the path of a value, or false for a key.
+func (w *fieldWalk) place(t json.Token) (string, bool) {
+	if len(w.levels) == 0 {
+		return "", true
+	}
+	l := &w.levels[len(w.levels)-1]
+	switch {
+	case l.isList:
+		path := fmt.Sprintf("%s[%d]", l.path, l.next)
+		l.next++
+		w.visit(path, "", w.currentLine())
+		return path, true
+	case l.hasKey:
+		l.hasKey = false
+		return l.valuePath, true
+	default:
+		name := fmt.Sprint(t)
+		l.valuePath, l.hasKey = name, true
+		if l.path != "" {
+			l.valuePath = l.path + "." + name
+		}
+		w.visit(l.valuePath, name, w.currentLine())
+		return "", false
+	}
+}
+
+// open begins an object or a list, if the value is one.
+func (w *fieldWalk) open(isDelim bool, d json.Delim, path string) {
+	if !isDelim {
+		return
+	}
+	w.depth++
+	if w.depth <= maxFieldDepth {
+		w.levels = append(w.levels, level{path: path, isList: d == '['})
+	}
+}
+
+func (w *fieldWalk) close() {
+	if w.depth == len(w.levels) {
+		w.levels = w.levels[:len(w.levels)-1]
+	}
+	w.depth--
+}
+
+// currentLine returns the line of the token that was read last.
+func (w *fieldWalk) currentLine() int {
+	end := w.decoder.InputOffset()
+	w.line += bytes.Count(w.text[w.offset:end], []byte("\n"))
+	w.offset = end
+	return w.line
+}
+
+// Lines returns the lines of the given paths in a JSON text, without those that are missing.
+func Lines(text []byte, paths []string) map[string]int {
+	wanted := make(map[string]bool, len(paths))
+	for _, p := range paths {
+		wanted[p] = true
+	}
+	lines := make(map[string]int, len(paths))
+	WalkFields(text, func(path, _ string, line int) {
+		if _, known := lines[path]; !known && wanted[path] {
+			lines[path] = line
+		}
+	})
+	return lines
+}
+
+// maxMisspelling is the greatest number of letters in which a misspelt name differs.
+const maxMisspelling = 2
+
+// lettersPerMisspelling is the number of a name's letters for each that may differ.
+const lettersPerMisspelling = 4
+
+// Misspelt returns the known name that an unknown name resembles, or "".
+func Misspelt(name string, known []string) string {
+	best, bestDistance := "", min(maxMisspelling, len(name)/lettersPerMisspelling)+1
+	for _, k := range known {
+		if abs(len(k)-len(name)) >= bestDistance {
+			continue
+		}
+		if d := distance(name, k); d < bestDistance {
+			best, bestDistance = k, d
+		}
+	}
+	return best
+}
+
+func abs(n int) int { return max(n, -n) }
+
+// distance returns the number of letters that have to be added, removed or replaced to turn a
+// into b.
+func distance(a, b string) int {
+	row := make([]int, len(b)+1)
+	for j := range row {
+		row[j] = j
+	}
+	for i := range len(a) {
+		diagonal := row[0]
+		row[0] = i + 1
+		for j := range len(b) {
+			replaced := diagonal
+			if a[i] != b[j] {
+				replaced++
+			}
+			diagonal = row[j+1]
+			row[j+1] = min(replaced, row[j]+1, diagonal+1)
+		}
+	}
+	return row[len(b)]
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"log/slog"
 	"os"
@@ -46,18 +47,40 @@
 // NewLogger returns a logger that writes JSON lines to out, and makes it the default logger so
 // that it also receives the log lines of libraries.
 func NewLogger(level string, out io.Writer) (*slog.Logger, error) {
-	var minLevel slog.Level
-	if err := minLevel.UnmarshalText([]byte(level)); err != nil {
-		return nil, BadFlag("log-level", level, "debug, info, warn or error")
+	minLevel, err := ParseLevel(level)
+	if err != nil {
+		return nil, err
 	}
 	log := slog.New(slog.NewJSONHandler(out, &slog.HandlerOptions{Level: minLevel}))
 	slog.SetDefault(log)
 	return log, nil
 }
 
+// ParseLevel returns the level of log lines that the flag log-level names.
+func ParseLevel(level string) (slog.Level, error) {
+	var l slog.Level
+	if err := l.UnmarshalText([]byte(level)); err != nil {
+		return l, BadFlag("log-level", level, "debug, info, warn or error")
+	}
+	return l, nil
+}
+
+// FlagError reports a flag whose value is not allowed.
+type FlagError struct {
+	Name  string
+	Value any
+	// Allowed says which values are allowed.
+	Allowed string
+}
+
+// Error returns the flag, its value and the allowed values.
+func (e *FlagError) Error() string {
+	return fmt.Sprintf("--%s: %v is not allowed; want %s", e.Name, e.Value, e.Allowed)
+}
+
 // BadFlag returns the error for a flag whose value is not allowed.
 func BadFlag(name string, value any, allowed string) error {
-	return errors.Errorf("--%s: %v is not allowed; want %s", name, value, allowed)
+	return &FlagError{Name: name, Value: value, Allowed: allowed}
 }
 
 // OnReload calls reload at each SIGHUP until the returned function is called.
