--- a/pkg/cli/cli.go
+++ b/pkg/cli/cli.go
@@ -10,6 +10,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/turmericbarrow/turmericbarrow/internal/daemon"
+	"github.com/turmericbarrow/turmericbarrow/internal/report"
 )
 
 // Version is the version of the program, which the build sets.
@@ -36,8 +37,11 @@
 	root.SetOut(out)
 	root.SetErr(errOut)
 	if err := root.Execute(); err != nil {
-		fmt.Fprintf(errOut, "turmericbarrow: %v\n", err)
-		return exitFailed
+		code, visible := report.ExitCode(err, exitFailed)
+		if visible {
+			fmt.Fprintf(errOut, "turmericbarrow: %v\n", err)
+		}
+		return code
 	}
 	return exitOK
 }
@@ -58,6 +62,7 @@
 		a.agentCommand(),
 		a.devCommand(),
 		a.contractCommand(),
+		a.checkCommand(),
 		a.retireCommands("upstream"),
 		a.retireCommands("host"),
 		a.statusCommand(),
--- a/pkg/cli/processes.go
+++ b/pkg/cli/processes.go
@@ -66,53 +66,40 @@
 	c.Flags().IntVar(&f.maxKeys, "max-keys", 1_000_000, "maximum number of keys remembered")
 	c.Flags().IntVar(&f.maxAnswerMB, "max-answer-mb", 256, "maximum megabytes of answers remembered")
 	c.Flags().Int64Var(&f.maxBodyBytes, "max-body-bytes", 1<<20, "largest body of a request or job")
-	c.Flags().IntVar(&f.maxJobTasks, "max-job-tasks", 310, "maximum number of tasks in a job")
+	c.Flags().IntVar(&f.maxJobTasks, "max-job-tasks", defaultMaxJobTasks, "maximum number of tasks in a job")
 	c.Flags().DurationVar(&f.explainWait, "explain-wait", 20*time.Millisecond, "wait after which a request is remembered for explain")
 	return c
 }
 
+// defaultMaxJobTasks is the default of --max-job-tasks.
+const defaultMaxJobTasks = 310
+
 // minRetentionWindows is the minimum retention of the log in key windows. The log must
 // still hold a grant while callers may submit keys that the grant covers.
 const minRetentionWindows = 2
 
-func (f *entryFlags) check() error {
-	checks := []error{
-		f.hostFlags.check(),
-		checkAddress("listen", f.listen),
-		checkAddress("operators", f.operators),
-		checkAddress("links", f.links),
-		checkAddresses("seeds", f.seeds),
-		checkURL("log-url", f.logURL),
-	}
+// problems returns an error for each flag that is not allowed.
+func (f *entryFlags) problems() []error {
+	errs := settingErrors(f.hostFlags.problems())
+	errs.add(checkAddress("listen", f.listen), checkAddress("operators", f.operators), checkAddress("links", f.links))
+	errs.add(checkAddresses("seeds", f.seeds)...)
+	errs.add(checkURL("log-url", f.logURL))
 	if f.advertise != "" {
-		checks = append(checks, checkAddress("advertise", f.advertise))
-	}
-	for _, err := range checks {
-		if err != nil {
-			return err
-		}
-	}
-	switch {
-	case f.keyWindow < 10*time.Second || f.keyWindow > 24*time.Hour:
-		return badFlag("key-window", f.keyWindow, "10s to 24h")
-	case f.logRetention < minRetentionWindows*f.keyWindow:
-		return badFlag("log-retention", f.logRetention, "at least twice --key-window")
-	case f.linger < 0 || f.linger > time.Minute:
-		return badFlag("linger", f.linger, "0s to 1m")
-	case f.maxKeys < 1000:
-		return badFlag("max-keys", f.maxKeys, "1000 or more")
-	case f.maxAnswerMB < 1:
-		return badFlag("max-answer-mb", f.maxAnswerMB, "1 or more")
-	case f.maxBodyBytes < 1<<10 || f.maxBodyBytes > 8<<20:
-		return badFlag("max-body-bytes", f.maxBodyBytes, "1024 to 8388608")
-	case f.maxJobTasks < 1 || f.maxJobTasks > 10_000:
-		return badFlag("max-job-tasks", f.maxJobTasks, "1 to 10000")
+		errs.add(checkAddress("advertise", f.advertise))
 	}
-	return nil
+	errs.require(f.keyWindow >= 10*time.Second && f.keyWindow <= 24*time.Hour, "key-window", f.keyWindow, "10s to 24h")
+	errs.require(f.logRetention >= minRetentionWindows*f.keyWindow, "log-retention", f.logRetention, "at least twice --key-window")
+	errs.require(f.linger >= 0 && f.linger <= time.Minute, "linger", f.linger, "0s to 1m")
+	errs.require(f.maxKeys >= 1000, "max-keys", f.maxKeys, "1000 or more")
+	errs.require(f.maxAnswerMB >= 1, "max-answer-mb", f.maxAnswerMB, "1 or more")
+	errs.require(f.maxBodyBytes >= 1<<10 && f.maxBodyBytes <= 8<<20, "max-body-bytes", f.maxBodyBytes, "1024 to 8388608")
+	errs.require(f.maxJobTasks >= 1 && f.maxJobTasks <= 10_000, "max-job-tasks", f.maxJobTasks, "1 to 10000")
+	return errs
 }
 
 func (f *entryFlags) settings() (entry.Settings, error) {
-	if err := f.check(); err != nil {
+	errs := settingErrors(f.problems())
+	if err := errs.first(); err != nil {
 		return entry.Settings{}, err
 	}
 	id, err := f.identity(host.RoleEntry)
@@ -154,6 +141,9 @@
 }
 
 func (a *app) runEntry(ctx context.Context, f *entryFlags) error {
+	if f.checkOnly {
+		return a.checkSettings("entry", f.problems(), f.hostFlags)
+	}
 	log, err := a.logger()
 	if err != nil {
 		return err
@@ -209,28 +199,24 @@
 	return c
 }
 
+// problems returns an error for each flag that is not allowed.
+func (f *agentFlags) problems() []error {
+	errs := settingErrors(f.hostFlags.problems())
+	errs.add(checkAddress("listen", f.listen))
+	errs.add(checkAddresses("entries", f.entries)...)
+	errs.require(len(f.entries) > 0, "entries", "[]", "at least one address")
+	errs.require(f.scope == string(agent.ScopeRegion) || f.scope == string(agent.ScopeZone), "link-scope", f.scope, "region or zone")
+	errs.require(f.keyWindow >= time.Second, "key-window", f.keyWindow, "1s or more")
+	errs.require(f.maxTasks >= 1, "max-tasks", f.maxTasks, "1 or more")
+	errs.require(f.maxAnswerMB >= 1, "max-answer-mb", f.maxAnswerMB, "1 or more")
+	return errs
+}
+
 func (f *agentFlags) settings() (agent.Settings, error) {
-	if err := f.hostFlags.check(); err != nil {
+	errs := settingErrors(f.problems())
+	if err := errs.first(); err != nil {
 		return agent.Settings{}, err
 	}
-	if err := checkAddress("listen", f.listen); err != nil {
-		return agent.Settings{}, err
-	}
-	if err := checkAddresses("entries", f.entries); err != nil {
-		return agent.Settings{}, err
-	}
-	switch {
-	case len(f.entries) == 0:
-		return agent.Settings{}, badFlag("entries", "[]", "at least one address")
-	case f.scope != string(agent.ScopeRegion) && f.scope != string(agent.ScopeZone):
-		return agent.Settings{}, badFlag("link-scope", f.scope, "region or zone")
-	case f.keyWindow < time.Second:
-		return agent.Settings{}, badFlag("key-window", f.keyWindow, "1s or more")
-	case f.maxTasks < 1:
-		return agent.Settings{}, badFlag("max-tasks", f.maxTasks, "1 or more")
-	case f.maxAnswerMB < 1:
-		return agent.Settings{}, badFlag("max-answer-mb", f.maxAnswerMB, "1 or more")
-	}
 	id, err := f.identity(host.RoleAgent)
 	if err != nil {
 		return agent.Settings{}, err
@@ -250,6 +236,9 @@
 }
 
 func (a *app) runAgent(ctx context.Context, f *agentFlags) error {
+	if f.checkOnly {
+		return a.checkSettings("agent", f.problems(), f.hostFlags)
+	}
 	log, err := a.logger()
 	if err != nil {
 		return err
--- a/pkg/cli/settings.go
+++ b/pkg/cli/settings.go
@@ -28,6 +28,8 @@
 	key               string
 	heartbeatInterval time.Duration
 	linkIdleTimeout   time.Duration
+	// checkOnly makes the process check its settings and exit.
+	checkOnly bool
 }
 
 func (h *hostFlags) add(f *pflag.FlagSet) {
@@ -40,21 +42,51 @@
 	f.StringVar(&h.key, "key", "", "this host's private key, as PEM text or a file's path")
 	f.DurationVar(&h.heartbeatInterval, "heartbeat", 600*time.Millisecond, "interval of heartbeats on links")
 	f.DurationVar(&h.linkIdleTimeout, "silence", 1800*time.Millisecond, "how long a link may be silent before it is replaced")
+	f.BoolVar(&h.checkOnly, "check", false, "check the settings and exit with 2 if one is not allowed")
 }
 
-func (h *hostFlags) check() error {
-	for name, v := range map[string]string{"name": h.name, "region": h.region, "zone": h.zone} {
-		if v == "" {
-			return badFlag(name, `""`, "a value")
+// problems returns an error for each flag that is not allowed.
+func (h *hostFlags) problems() []error {
+	var errs []error
+	for _, f := range []struct{ name, value string }{{"name", h.name}, {"region", h.region}, {"zone", h.zone}} {
+		if f.value == "" {
+			errs = append(errs, badFlag(f.name, `""`, "a value"))
 		}
 	}
 	if h.heartbeatInterval < 50*time.Millisecond || h.heartbeatInterval > 10*time.Second {
-		return badFlag("heartbeat", h.heartbeatInterval, "50ms to 10s")
+		errs = append(errs, badFlag("heartbeat", h.heartbeatInterval, "50ms to 10s"))
 	}
 	if h.linkIdleTimeout <= 2*h.heartbeatInterval {
-		return badFlag("silence", h.linkIdleTimeout, "more than twice --heartbeat")
+		errs = append(errs, badFlag("silence", h.linkIdleTimeout, "more than twice --heartbeat"))
 	}
-	return nil
+	return errs
+}
+
+// settingErrors collects the errors of a process's settings.
+type settingErrors []error
+
+// add adds errors, and ignores nil.
+func (s *settingErrors) add(errs ...error) {
+	for _, err := range errs {
+		if err != nil {
+			*s = append(*s, err)
+		}
+	}
+}
+
+// require adds an error for a flag unless its value is allowed.
+func (s *settingErrors) require(ok bool, flag string, value any, allowed string) {
+	if !ok {
+		*s = append(*s, badFlag(flag, value, allowed))
+	}
+}
+
+// first returns the first error, or nil.
+func (s *settingErrors) first() error {
+	if len(*s) == 0 {
+		return nil
+	}
+	return (*s)[0]
 }
 
 // identity is the host that a process presents on links, with its TLS credentials.
@@ -72,20 +104,38 @@
 		Role:        role,
 		Location:    zone.Location{Region: h.region, Zone: h.zone, Rack: h.rack},
 	}}
-	creds, err := h.credentials()
-	if err != nil {
+	creds, errs := h.credentials()
+	if err := errs.first(); err != nil {
 		return id, err
 	}
+	err := id.use(creds)
+	return id, err
+}
+
+// use sets the TLS credentials.
+func (id *identity) use(creds certs.Credentials) error {
+	var err error
 	if id.tls, err = creds.TLSConfig(); err != nil {
-		return id, err
+		return err
 	}
 	id.expiry, err = creds.Expiry()
-	return id, err
+	return err
+}
+
+// credentialProblems returns why a process could not use its credentials.
+func (h *hostFlags) credentialProblems() []error {
+	creds, errs := h.credentials()
+	if len(errs) == 0 {
+		id := identity{}
+		errs.add(id.use(creds))
+	}
+	return errs
 }
 
 // credentials reads the authority's certificate and the host's certificate and key.
-func (h *hostFlags) credentials() (certs.Credentials, error) {
+func (h *hostFlags) credentials() (certs.Credentials, settingErrors) {
 	creds := certs.Credentials{}
+	var errs settingErrors
 	for _, f := range []struct {
 		flag   string
 		value  string
@@ -96,12 +146,10 @@
 		{"key", h.key, &creds.KeyPEM},
 	} {
 		data, err := readPEM(f.flag, f.value)
-		if err != nil {
-			return creds, err
-		}
+		errs.add(err)
 		*f.target = data
 	}
-	return creds, nil
+	return creds, errs
 }
 
 // readPEM returns the flag's value if it is PEM text, and otherwise reads the file at that
@@ -128,13 +176,12 @@
 	return nil
 }
 
-func checkAddresses(flag string, values []string) error {
+func checkAddresses(flag string, values []string) []error {
+	var errs settingErrors
 	for _, v := range values {
-		if err := checkAddress(flag, v); err != nil {
-			return err
-		}
+		errs.add(checkAddress(flag, v))
 	}
-	return nil
+	return errs
 }
 
 func checkURL(flag, value string) error {
