--- a/internal/check/fields.go
+++ b/internal/check/fields.go
@@ -128,6 +128,9 @@
 		wanted[p] = true
 	}
 	lines := make(map[string]int, len(paths))
+	if len(paths) == 0 {
+		return lines
+	}
 	WalkFields(text, func(path, _ string, line int) {
 		if _, known := lines[path]; !known && wanted[path] {
 			lines[path] = line
--- a/internal/check/terms_rules.go
+++ b/internal/check/terms_rules.go
@@ -59,7 +59,7 @@
 	first := firstByAddress(t)
 	for i, q := range t.Queues {
 		if j := first[address{q.Host, q.Prefix}]; j != i {
-			hits = append(hits, hit{queueField(i, "prefix"), fmt.Sprintf("`queues[%d]`, %q, has the same host and prefix and stands before it", j, t.Queues[j].Name), "another prefix, or none of the two"})
+			hits = append(hits, hit{queueField(i, "prefix"), fmt.Sprintf("`queues[%d]`, %q, has the same host and prefix and stands before it", j, t.Queues[j].Name), "another prefix, or only one of the two"})
 		}
 	}
 	return hits
--- a/internal/check/text.go
+++ b/internal/check/text.go
@@ -23,10 +23,14 @@
 	return b.String()
 }
 
-// printable replaces characters that would control a terminal.
+// printable replaces characters that would control a terminal, and makes all white space
+// ordinary.
 func printable(line string) string {
 	return strings.Map(func(r rune) rune {
-		if unicode.IsPrint(r) {
+		switch {
+		case unicode.IsSpace(r):
+			return ' '
+		case unicode.IsPrint(r):
 			return r
 		}
 		return unicode.ReplacementChar
