--- a/internal/check/diff.go
+++ b/internal/check/diff.go
@@ -48,9 +48,10 @@
 
 // Comparison holds the differences from another configuration.
 type Comparison struct {
-	// From and To are the versions, or contr.NoVersion where there is none.
-	From int64 `json:"from_version"`
-	To   int64 `json:"to_version"`
+	// From and To are the versions of terms. They are zero for contracts, which get a version
+	// when they are accepted.
+	From int64 `json:"from_version,omitempty"`
+	To   int64 `json:"to_version,omitempty"`
 	// Changes are ordered by effect, object and name.
 	Changes []Change `json:"changes"`
 }
@@ -170,7 +171,7 @@
 
 // compareTerms returns the differences of terms by queue, limit and fleet.
 func compareTerms(before, after *contr.Terms) *Comparison {
-	c := &Comparison{From: before.Version, To: after.Version}
+	c := &Comparison{From: before.Version, To: after.Version, Changes: []Change{}}
 	c.Changes = append(c.Changes, compareNamed(ObjectQueue, before.Queues, after.Queues, func(q contr.Queue) string { return q.Name }, compareQueue)...)
 	c.Changes = append(c.Changes, compareNamed(ObjectFleet, before.Fleets, after.Fleets, func(f contr.Fleet) string { return f.Name }, compareFleet)...)
 	c.Changes = append(c.Changes, compareLimits(before.Limits, after.Limits)...)
@@ -208,7 +209,7 @@
 // compareContracts compares the contracts of files with those of the same customers before.
 // Customers that no file names are left as they are when contracts are sent.
 func compareContracts(before map[string]*contr.Contract, files []contractFile) *Comparison {
-	c := &Comparison{From: contr.NoVersion, To: contr.NoVersion}
+	c := &Comparison{Changes: []Change{}}
 	for _, f := range files {
 		d := &differ{object: ObjectCustomer, name: f.contract.Customer}
 		if old := before[f.contract.Customer]; old != nil {
--- a/internal/report/report.go
+++ b/internal/report/report.go
@@ -78,6 +78,9 @@
 		_, err := io.WriteString(out, r.Text())
 		return err
 	}
+	if r.Findings == nil {
+		r.Findings = []check.Finding{}
+	}
 	e := json.NewEncoder(out)
 	e.SetIndent("", "  ")
 	return e.Encode(r)
