cli, report: Exit code 2 also for the environment, and errors between files to compare with

Cause: A wrong environment variable ended a check command with 1, the code of warnings. Change: The check commands set their flags from the environment themselves; a trial amendment that is refused is a finding.

--- a/internal/check/contracts.go
+++ b/internal/check/contracts.go
@@ -123,13 +123,18 @@
 			if seen[name] {
 				want = "one file for each customer"
 			}
-			r.Add(Finding{Severity: SeverityError, Rule: RuleAmendment, File: f.Name, Line: contr.LineOf(f.Text, "customer"),
-				Field: "customer", Problem: v.Reason, Want: want})
+			r.Add(AmendmentError(f.File, v.Reason, want))
 		}
 		seen[name] = true
 	}
 }
 
+// AmendmentError returns the finding for a contract that is refused, although its text is valid.
+func AmendmentError(f File, reason, want string) Finding {
+	return Finding{Severity: SeverityError, Rule: RuleAmendment, File: f.Name, Line: contr.LineOf(f.Text, "customer"),
+		Field: "customer", Problem: reason, Want: want}
+}
+
 // checkContract applies the rules to one contract.
 func checkContract(f contractFile, facts Facts, r *Report) {
 	for _, rule := range contractRules {
--- a/internal/report/report.go
+++ b/internal/report/report.go
@@ -117,10 +117,13 @@
 // Error returns the error.
 func (e *UsageError) Error() string { return e.Err.Error() }
 
-// Command makes the errors of a command's arguments and flags UsageErrors, and those of its run
-// unless they are an ExitStatus.
+// Command makes the errors of a command's arguments, flags and environment UsageErrors, and those
+// of its run unless they are an ExitStatus.
 func Command(c *cobra.Command) *cobra.Command {
 	args, run := c.Args, c.RunE
+	c.PersistentPreRunE = func(c *cobra.Command, _ []string) error {
+		return usage(daemon.SetFlagsFromEnvironment(c.Flags()))
+	}
 	c.Args = func(c *cobra.Command, a []string) error { return usage(args(c, a)) }
 	c.RunE = func(c *cobra.Command, a []string) error { return usage(run(c, a)) }
 	c.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usage(err) })
--- a/pkg/cli/check.go
+++ b/pkg/cli/check.go
@@ -99,7 +99,10 @@
 			continue
 		}
 		name := contr.PrefixContract + c.Customer
-		base.Amend(base.Applied+1, contr.Amendment{Base: base.DocumentVersion(name), Name: name, Text: string(file.Text)})
+		v := base.Amend(base.Applied+1, contr.Amendment{Author: file.Name, Base: contr.NoVersion, Name: name, Text: string(file.Text)})
+		if !v.Accepted {
+			r.Add(check.AmendmentError(file, v.Reason, "files of which each could be in force"))
+		}
 	}
 	input.Base, input.BaseVersion, input.Compare = base.SortedDocuments(), base.Version, true
 }
--- a/pkg/cli/check_test.go
+++ b/pkg/cli/check_test.go
@@ -144,6 +144,9 @@
 	require.NoError(t, yaml.Unmarshal(data, &table))
 	d := startSystem(t)
 	client := d.OperatorClient(0)
+	code, out, _ := run("check", "../../examples/lusofala/events.yaml", "--in-force", "--operators-url", client.URL)
+	require.Contains(t, out, "no difference\n")
+	require.Equal(t, 0, code, out)
 	golden, err := filepath.Abs("testdata/wrong_contracts.golden")
 	require.NoError(t, err)
 	t.Chdir(t.TempDir())
@@ -254,6 +257,7 @@
 		{[]string{changed, "--max-job-tasks", "0", "--strict", "--against", events}, 0,
 			"goes away: customer lusofala-events: kinds[relay]\ntightens: customer lusofala-events: queue 600 -> 200\n" +
 				"loosens: customer lusofala-events: share 4 -> 9\nis added: customer lusofala-events: kinds[delay]\n"},
+		{[]string{changed, "--against", events, "--against", events}, 2, "events.yaml:4: error: customer: made from version -1, but version 0 is in force"},
 		{[]string{events, "--against", "missing.yaml"}, 2, "missing.yaml: error: open missing.yaml"},
 		{[]string{events, "--output", "xml"}, 2, "--output: xml is not allowed"},
 		{[]string{events, "--in-force", "--operators-url", "http://127.0.0.1:1"}, 2, "read the configuration in force"},
