check: No copies of long paths in the walk over a JSON text

Cause: Each field's path began with a copy of its object's path, however long: a name of 1 MB before 10,000 fields would take 10 GB of copies. Change: Fields of objects with a path of more than 256 bytes are not reported, like those deeper than four levels.

--- a/internal/check/check_test.go
+++ b/internal/check/check_test.go
@@ -76,6 +76,14 @@
 		check.Lines([]byte(text), []string{"a", "a[0]", "a[0].b", "a[0].c.d", "a[1]", "e", "missing"}))
 }
 
+// Each field used to get a copy of the path, however long: gigabytes for one long name.
+func TestFieldsBelowALongNameAreNotReported(t *testing.T) {
+	text := `{"` + strings.Repeat("x", 1<<20) + `":{"a":{"b":1}` + strings.Repeat(`,"a":[2]`, 10_000) + `},"c":3}`
+	paths := 0
+	check.WalkFields([]byte(text), func(string, string, int) { paths++ })
+	require.Equal(t, 2, paths)
+}
+
 func TestMisspeltNames(t *testing.T) {
 	known := []string{"max-attempts", "host", "name"}
 	for name, want := range map[string]string{"max-attempt": "max-attempts", "maxattempt": "max-attempts", "hots": "", "hosts": "host", "kind": "", "naame": "name", "": ""} {
--- a/internal/check/fields.go
+++ b/internal/check/fields.go
@@ -13,6 +13,10 @@
 // maxFieldDepth is the depth, in objects and lists, to which WalkFields reports fields.
 const maxFieldDepth = 4
 
+// maxPathBytes is the longest path of an object or list whose fields WalkFields reports. Each
+// field has a copy of the path.
+const maxPathBytes = 256
+
 // WalkFields calls visit for each field and list element of a JSON text with its path, such as
 // queues[2].name, its own name, which is empty for elements, and its line. It only finds
 // positions, which decoders of messages do not report, and ends at the first syntax error.
@@ -100,8 +104,9 @@
 	if !isDelim {
 		return
 	}
+	inVisited := w.depth == len(w.levels)
 	w.depth++
-	if w.depth <= maxFieldDepth {
+	if inVisited && w.depth <= maxFieldDepth && len(path) <= maxPathBytes {
 		w.levels = append(w.levels, level{path: path, isList: d == '['})
 	}
 }
