check, platform: Warn of numbers that the decoder converts silently

Cause: A max-attempts of -2 counts as 1 and an slo-ms of 60.5 as 60, with no line anywhere: the terms that are checked no longer have the number.

--- a/internal/check/check.go
+++ b/internal/check/check.go
@@ -92,8 +92,8 @@
 	})
 }
 
-// dropRepeated removes the warnings on fields that have an error.
-func (r *Report) dropRepeated() {
+// DropRepeated removes the warnings on fields that have an error.
+func (r *Report) DropRepeated() {
 	type place struct{ file, field string }
 	wrong := map[place]bool{}
 	for _, f := range r.Findings {
--- a/internal/check/contracts.go
+++ b/internal/check/contracts.go
@@ -61,7 +61,7 @@
 	if in.Compare {
 		r.Comparison = compareContracts(before, files)
 	}
-	r.dropRepeated()
+	r.DropRepeated()
 	r.Sort()
 	return r
 }
--- a/internal/check/fields.go
+++ b/internal/check/fields.go
@@ -10,6 +10,10 @@
 // Decoders that ignore unknown fields ignore these too.
 var FieldMisspelt = Rule{"field_misspelt", "an unknown field is ignored, and the one that is meant keeps its default"}
 
+// NumberCut is the rule for whole numbers that are given with a fraction, or below the least that
+// is used. Decoders that convert them report nothing.
+var NumberCut = Rule{"number_cut", "a number is used without its fraction, and attempts below 1 as 1"}
+
 // maxFieldDepth is the depth, in objects and lists, to which WalkFields reports fields.
 const maxFieldDepth = 4
 
--- a/internal/check/rules.go
+++ b/internal/check/rules.go
@@ -40,5 +40,5 @@
 	for _, r := range termsRules {
 		out = append(out, r.Rule)
 	}
-	return append(out, FieldMisspelt)
+	return append(out, FieldMisspelt, NumberCut)
 }
--- a/internal/check/terms.go
+++ b/internal/check/terms.go
@@ -30,7 +30,7 @@
 			r.Add(Finding{Severity: SeverityWarning, Rule: rule.Name, File: in.File, Field: h.field, Problem: h.problem, Want: h.want})
 		}
 	}
-	r.dropRepeated()
+	r.DropRepeated()
 	return r
 }
 
