--- a/internal/place/fleet_test.go
+++ b/internal/place/fleet_test.go
@@ -50,6 +50,10 @@
 	returned int
 	inTime   int
 	refused  int
+	// late counts the jobs that succeeded after their objective but soon enough to be of use.
+	late int
+	// until is the end of the load.
+	until clock.Millis
 }
 
 // newFleetReplay links each agent to random entries.
@@ -160,8 +164,11 @@
 		switch act := action.(type) {
 		case Answer:
 			a := f.arrivals[act.Job.Spec.ID]
-			if act.Verdict == VerdictSucceeded && f.now-a.at <= a.objective() {
+			switch took := f.now - a.at; {
+			case act.Verdict == VerdictSucceeded && took <= a.objective():
 				f.inTime++
+			case act.Verdict == VerdictSucceeded && took <= LateFactor*a.objective():
+				f.late++
 			}
 			if act.Verdict == VerdictRefused {
 				f.refused++
@@ -189,7 +196,7 @@
 		connections[i] = r.IntN(len(f.entries))
 	}
 	next := 0
-	for ; f.now < fleetReplayMS+3000; f.now++ {
+	for ; f.now < f.until+3000; f.now++ {
 		for _, deliver := range f.messages[f.now] {
 			deliver()
 		}
@@ -225,13 +232,19 @@
 }
 
 func playFleet(entries, agents int, loadFraction float64, seed uint64) (*fleetReplay, []arrival) {
+	return playFleetKinds(entries, agents, fleetKinds(agents, loadFraction), fleetReplayMS, seed)
+}
+
+// playFleetKinds plays a load of the given kinds that arrive before until.
+func playFleetKinds(entries, agents int, kinds []jobKind, until clock.Millis, seed uint64) (*fleetReplay, []arrival) {
 	var load []arrival
-	for _, a := range generateLoad(fleetKinds(agents, loadFraction), seed) {
-		if a.at < fleetReplayMS {
+	for _, a := range generateLoad(kinds, seed) {
+		if a.at < until {
 			load = append(load, a)
 		}
 	}
 	f := newFleetReplay(entries, agents, seed)
+	f.until = until
 	f.run(load, seed)
 	return f, load
 }
