place: The fleet replay proves contact with the entries to its agents

Cause: the replayed agents had no contacts, so that each counted the entries of runs older than 1.1 s as silent and returned all that was sent to it. One entry that sees all workers had 0.02 to 0.98 returned runs a job.

Change: the agents of the replay record a contact every 100 ms, as frames do.

--- a/internal/place/fleet_test.go
+++ b/internal/place/fleet_test.go
@@ -18,11 +18,13 @@
 // capacity are paced, so that entries decide from views that are out of date.
 
 const (
-	messageMS       clock.Millis = 2
-	agentLinks                   = 6
-	reportMS        clock.Millis = 250
-	fleetReplayMS   clock.Millis = 6000
-	workerCallMS    clock.Millis = 1
+	messageMS     clock.Millis = 2
+	agentLinks                 = 6
+	reportMS      clock.Millis = 250
+	fleetReplayMS clock.Millis = 6000
+	workerCallMS  clock.Millis = 1
+	// contactMS is the interval at which frames prove to an agent that its entries are alive.
+	contactMS       clock.Millis = 100
 	fleetWorkerCPUs              = 16
 	fleetTaskCPU                 = 3800
 )
@@ -106,6 +108,11 @@
 // stepAgent ends due runs, performs the supervisor's actions and reports when that is due.
 func (f *fleetReplay) stepAgent(a *fleetAgent) {
 	f.pollWorker(a)
+	if f.now%contactMS == 0 {
+		for _, e := range a.entries {
+			a.supervisor.RecordContact(fmt.Sprint(e), f.now-contactMS)
+		}
+	}
 	if f.now%20 == 0 {
 		a.supervisor.Tick(f.now)
 	}
