offer, place: Which entry is offered free capacity next, and what agents are told

Cause: an entry whose jobs wait learns up to 200 ms later that a worker that it is linked to has free capacity, and refuses jobs meanwhile.

Change: an entry tells its agents of the jobs that wait, each task to two agents; an agent offers its free capacity to one waiting entry at a time, in the order of the jobs, and passes on what is not used within 8 ms.

--- a/internal/place/fleet_test.go
+++ b/internal/place/fleet_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/turmericbarrow/turmericbarrow/internal/clock"
 	"github.com/turmericbarrow/turmericbarrow/internal/jobs"
+	"github.com/turmericbarrow/turmericbarrow/internal/offer"
 	"github.com/turmericbarrow/turmericbarrow/internal/runs"
 )
 
@@ -18,17 +19,18 @@
 // capacity are paced, so that entries decide from views that are out of date.
 
 const (
-	messageMS     clock.Millis = 2
-	agentLinks                 = 6
-	reportMS      clock.Millis = 250
-	fleetReplayMS clock.Millis = 6000
-	workerCallMS  clock.Millis = 1
-	// contactMS is the interval at which frames prove to an agent that its entries are alive.
-	contactMS       clock.Millis = 100
+	messageMS       clock.Millis = 2
+	agentLinks                   = 6
+	reportMS        clock.Millis = 250
+	fleetReplayMS   clock.Millis = 6000
+	workerCallMS    clock.Millis = 1
 	fleetWorkerCPUs              = 16
 	fleetTaskCPU                 = 3800
 )
 
+// contactMS is the interval at which frames prove to an agent that its entries are alive.
+const contactMS clock.Millis = 100
+
 // fleetAgent is an agent with its worker and the entries that it is linked to.
 type fleetAgent struct {
 	name       string
@@ -38,6 +40,7 @@
 	lastLaunch map[int]uint64
 	reportedAt clock.Millis
 	running    map[runs.RunID]clock.Millis
+	book       *offer.Book
 }
 
 // fleetReplay is one run of a load.
@@ -56,6 +59,8 @@
 	late int
 	// until is the end of the load.
 	until clock.Millis
+	// offers holds the state of capacity offers; nil while there are none.
+	offers *fleetOffers
 }
 
 // newFleetReplay links each agent to random entries.
@@ -69,7 +74,7 @@
 		f.entries = append(f.entries, s)
 	}
 	for i := range agents {
-		a := &fleetAgent{name: fmt.Sprint("agent-", i), supervisor: runs.New(1209), speed: 1.2, lastLaunch: map[int]uint64{}, running: map[runs.RunID]clock.Millis{}}
+		a := &fleetAgent{name: fmt.Sprint("agent-", i), supervisor: runs.New(1209), speed: 1.2, lastLaunch: map[int]uint64{}, running: map[runs.RunID]clock.Millis{}, book: offer.NewBook()}
 		if i%4 == 0 {
 			a.speed = 0.55
 		}
@@ -129,6 +134,7 @@
 	if a.supervisor.NotifyNow || a.supervisor.Changed && f.now-a.reportedAt >= reportMS {
 		f.report(a)
 	}
+	f.offerCapacity(a)
 }
 
 func (f *fleetReplay) reportEnd(a *fleetAgent, act runs.Report) {
@@ -137,7 +143,9 @@
 	}
 	var entry int
 	fmt.Sscan(act.Entry, &entry)
-	f.reportTo(a, entry)
+	if act.End.Outcome != jobs.OutcomeDone || !a.book.Reserves(a.supervisor.Free()) {
+		f.reportTo(a, entry)
+	}
 	f.send(func() {
 		f.entries[entry].RunEnded(a.name, act.End.Ref, act.End.Number, act.End.Outcome, act.End.RanMS, f.now)
 	})
@@ -166,6 +174,7 @@
 	s := f.entries[i]
 	if f.now%10 == 0 {
 		s.Tick(f.now)
+		f.announce(i)
 	}
 	for _, action := range s.TakeActions() {
 		switch act := action.(type) {
@@ -189,6 +198,7 @@
 			}
 			f.send(func() {
 				a.lastLaunch[i] = act.Number
+				a.book.Launched(fmt.Sprint(i))
 				a.supervisor.Launch(launched, f.now)
 			})
 		}
@@ -239,11 +249,12 @@
 }
 
 func playFleet(entries, agents int, loadFraction float64, seed uint64) (*fleetReplay, []arrival) {
-	return playFleetKinds(entries, agents, fleetKinds(agents, loadFraction), fleetReplayMS, seed)
+	return playFleetKinds(entries, agents, fleetKinds(agents, loadFraction), fleetReplayMS, seed, false)
 }
 
-// playFleetKinds plays a load of the given kinds that arrive before until.
-func playFleetKinds(entries, agents int, kinds []jobKind, until clock.Millis, seed uint64) (*fleetReplay, []arrival) {
+// playFleetKinds plays a load of the given kinds that arrive before until, with or without
+// capacity offers.
+func playFleetKinds(entries, agents int, kinds []jobKind, until clock.Millis, seed uint64, offers bool) (*fleetReplay, []arrival) {
 	var load []arrival
 	for _, a := range generateLoad(kinds, seed) {
 		if a.at < until {
@@ -252,6 +263,9 @@
 	}
 	f := newFleetReplay(entries, agents, seed)
 	f.until = until
+	if offers {
+		f.offers = newFleetOffers(entries)
+	}
 	f.run(load, seed)
 	return f, load
 }
--- a/internal/place/loads_test.go
+++ b/internal/place/loads_test.go
@@ -42,7 +42,7 @@
 	for k := range fleetKinds(loadAgents, burstBaseFraction) {
 		kinds := fleetKinds(loadAgents, burstBaseFraction)
 		kinds[k].burst = burstFactor(kinds, k)
-		loads = append(loads, namedLoad{"burst " + kinds[k].name, kinds, burstReplayMS})
+		loads = append(loads, namedLoad{"burst-" + kinds[k].name, kinds, burstReplayMS})
 	}
 	return loads
 }
@@ -79,11 +79,14 @@
 	for _, l := range fleetLoads() {
 		t.Run(l.name, func(t *testing.T) {
 			t.Parallel()
-			for seed := range uint64(3) {
-				f, load := playFleetKinds(loadEntries, loadAgents, l.kinds, l.until, seed)
-				ideal, _ := playFleetKinds(1, loadAgents, l.kinds, l.until, seed)
-				t.Logf("seed %d, %.2f of the places: %s; one entry that sees all: %s", seed,
-					fractionOfPlaces(loadAgents, l.kinds), f.figures(len(load)), ideal.figures(len(load)))
+			places := fractionOfPlaces(loadAgents, l.kinds)
+			for seed := range uint64(8) {
+				off, load := playFleetKinds(loadEntries, loadAgents, l.kinds, l.until, seed, false)
+				on, _ := playFleetKinds(loadEntries, loadAgents, l.kinds, l.until, seed, true)
+				one, _ := playFleetKinds(1, loadAgents, l.kinds, l.until, seed, false)
+				for name, f := range map[string]*fleetReplay{"off": off, "on": on, "one-entry": one} {
+					t.Logf("load %s (%.2f of the places) seed %d %s: %s", l.name, places, seed, name, f.figures(len(load)))
+				}
 			}
 		})
 	}
@@ -92,6 +95,10 @@
 // figures returns what became of a load of the given number of jobs.
 func (f *fleetReplay) figures(load int) string {
 	n := float64(load)
-	return fmt.Sprintf("in time %.3f, late %.3f, refused %.3f, returned runs a job %.2f",
+	out := fmt.Sprintf("in time %.3f, late %.3f, refused %.3f, returned runs a job %.2f",
 		float64(f.inTime)/n, float64(f.late)/n, float64(f.refused)/n, float64(f.returned)/n)
+	if f.offers != nil {
+		out += fmt.Sprintf(", notices a job %.2f, offers %.2f", float64(f.offers.notices)/n, float64(f.offers.offers)/n)
+	}
+	return out
 }
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -426,9 +426,11 @@
 	// candidates is used by findCandidates only.
 	candidates []candidate
 	// stats is keyed by the name of the queue.
-	stats   map[string]*queueStats
-	random  *rand.Rand
-	actions []Action
+	stats  map[string]*queueStats
+	random *rand.Rand
+	// firstAgent is the position at which Demand begins among the agents.
+	firstAgent int
+	actions    []Action
 }
 
 // New returns a scheduler without jobs or workers.
@@ -447,6 +449,7 @@
 // different seeds choose differently.
 func (s *Scheduler) Seed(seed uint64) {
 	s.random = rand.New(rand.NewPCG(seed, 0))
+	s.firstAgent = rand.New(rand.NewPCG(seed, 1)).IntN(math.MaxInt32)
 }
 
 // TakeActions returns the pending actions and clears them.
