sched, runner, platform: Entries tell agents of waiting jobs, agents offer capacity

An agent reports to the entry that it offers to at once, and leaves out the report with an ended run while another entry waits for the capacity.

--- a/internal/offer/announcer.go
+++ b/internal/offer/announcer.go
@@ -49,10 +49,15 @@
 	return &Announcer{told: map[string]notified{}, lastRoundAt: -roundMS}
 }
 
+// Due reports whether Update may return notices at now.
+func (a *Announcer) Due(now clock.Millis) bool {
+	return now-a.lastRoundAt >= roundMS
+}
+
 // Update returns the notices that are due at now, ordered by agent. demand holds the demand for
 // each worker that a waiting job could use, by the incarnation of its agent.
 func (a *Announcer) Update(demand map[string]Demand, now clock.Millis) []Notice {
-	if len(demand) == 0 && len(a.told) == 0 || now-a.lastRoundAt < roundMS {
+	if len(demand) == 0 && len(a.told) == 0 || !a.Due(now) {
 		return nil
 	}
 	notices := append(a.withdraw(demand, now), a.tell(demand, now)...)
--- a/internal/offer/book.go
+++ b/internal/offer/book.go
@@ -98,6 +98,13 @@
 	return entry, found
 }
 
+// Suspend ends the outstanding offer, if there is one. It is called in place of Next while the
+// worker takes no runs.
+func (b *Book) Suspend(now clock.Millis) {
+	b.expire(now)
+	b.offeredTo = ""
+}
+
 // Due returns when Next has to be called at the latest, or limit if that is earlier.
 func (b *Book) Due(limit clock.Millis) clock.Millis {
 	if b.offeredTo == "" {
--- a/internal/runner/calls.go
+++ b/internal/runner/calls.go
@@ -54,15 +54,19 @@
 	for _, e := range a.supervisor.TakeEnded() {
 		a.logEnd(e)
 	}
+	now := a.clock.Now()
 	for entry, ends := range reports {
 		if l := a.links[entry]; l != nil {
-			l.link.Send(a.capacityFrame(l))
+			if !a.keepsForOffer(ends, now) {
+				l.link.Send(a.capacityFrame(l))
+			}
 			l.link.Send(endsFrame(ends))
 		}
 	}
-	if a.supervisor.NotifyNow || a.supervisor.Changed && a.clock.Now()-a.capacityReportedAt >= a.reportInterval() {
+	if a.supervisor.NotifyNow || a.supervisor.Changed && now-a.capacityReportedAt >= a.reportInterval() {
 		a.reportCapacity()
 	}
+	a.offerCapacity(now)
 }
 
 // logLoss logs and counts a run that counts as lost.
--- a/internal/runner/links.go
+++ b/internal/runner/links.go
@@ -159,6 +159,7 @@
 		l.lastLaunch = b.Launch.GetNumber()
 		launched := decodeLaunch(entry, b.Launch, now)
 		a.logClaims(launched)
+		a.recordLaunch(entry)
 		a.supervisor.Launch(launched, now)
 	case *wire.Frame_Halt:
 		job, tasks := decodeHalt(b.Halt)
@@ -170,6 +171,8 @@
 			}
 		}
 		a.updateDials(now)
+	case *wire.Frame_Waiting:
+		a.onWaiting(entry, b.Waiting, now)
 	case *wire.Frame_ZoneDrains:
 		a.onDrains(link.DecodeDrains(b.ZoneDrains), l.link.Peer.Name, now)
 	}
--- a/internal/runner/metrics.go
+++ b/internal/runner/metrics.go
@@ -38,6 +38,14 @@
 	m.set.GetOrCreateCounter("turmericbarrow_unexpected_errors_total").Inc()
 }
 
+func (m *Metrics) recordOffer() {
+	m.set.GetOrCreateCounter("turmericbarrow_offers_total").Inc()
+}
+
+func (m *Metrics) recordUsedOffer() {
+	m.set.GetOrCreateCounter("turmericbarrow_offers_used_total").Inc()
+}
+
 func (m *Metrics) recordRunEnd(outcome jobs.Outcome) {
 	m.set.GetOrCreateCounter(fmt.Sprintf("turmericbarrow_runs_ended_total{end=%q}", outcome)).Inc()
 }
@@ -56,6 +64,8 @@
 	Unreachable  bool
 	ZoneDrained  bool
 	Entries      int
+	// EntriesWaiting is the number of entries at which a job waits for this worker.
+	EntriesWaiting int
 }
 
 // WriteMetrics writes the agent's metrics in the Prometheus text format.
@@ -77,6 +87,7 @@
 		"turmericbarrow_worker_unreachable": boolValue(g.Unreachable),
 		"turmericbarrow_zone_drained":       boolValue(g.ZoneDrained),
 		"turmericbarrow_links_entries":      float64(g.Entries),
+		"turmericbarrow_entries_waiting":    float64(g.EntriesWaiting),
 	} {
 		gauges.NewGauge(name, func() float64 { return v })
 	}
@@ -94,5 +105,6 @@
 func (a *Agent) gauges() Gauges {
 	onProbation, _ := a.supervisor.Probation(a.clock.Now())
 	return Gauges{Held: a.supervisor.Held(), FreeMilliCPU: a.supervisor.Free().MilliCPU, Speed: a.supervisor.Speed,
-		OnProbation: onProbation, Unreachable: a.supervisor.Unreachable, ZoneDrained: a.supervisor.ZoneDrained, Entries: len(a.links)}
+		OnProbation: onProbation, Unreachable: a.supervisor.Unreachable, ZoneDrained: a.supervisor.ZoneDrained, Entries: len(a.links),
+		EntriesWaiting: a.book.Waiting()}
 }
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -17,6 +17,7 @@
 	"github.com/turmericbarrow/turmericbarrow/internal/host"
 	"github.com/turmericbarrow/turmericbarrow/internal/jobs"
 	"github.com/turmericbarrow/turmericbarrow/internal/link"
+	"github.com/turmericbarrow/turmericbarrow/internal/offer"
 	"github.com/turmericbarrow/turmericbarrow/internal/roster"
 	"github.com/turmericbarrow/turmericbarrow/internal/runs"
 	"github.com/turmericbarrow/turmericbarrow/internal/zone"
@@ -127,12 +128,15 @@
 
 // Agent is the agent of one worker.
 type Agent struct {
-	settings      Settings
-	clock         Clock
-	log           *slog.Logger
-	worker        Worker
-	directory     EntryDirectory
-	supervisor    *runs.Supervisor
+	settings   Settings
+	clock      Clock
+	log        *slog.Logger
+	worker     Worker
+	directory  EntryDirectory
+	supervisor *runs.Supervisor
+	// book decides which entry is offered free capacity.
+	book          *offer.Book
+	offers        offers
 	node          *link.Node
 	pauseDetector *clock.PauseDetector
 
@@ -196,6 +200,7 @@
 		worker:         worker,
 		directory:      directory,
 		supervisor:     runs.New(contactLeaseMS),
+		book:           offer.NewBook(),
 		pauseDetector:  clock.NewPauseDetector(pauseLimitMS, clock.FromDuration(idleInterval)),
 		announcements:  make(chan Announcement, inboxSize),
 		startResults:   make(chan startResult, inboxSize),
@@ -388,7 +393,7 @@
 	if a.supervisor.NeedsFrequentTicks() || a.drainDeadline > 0 || a.supervisor.Unreachable {
 		due = now + clock.FromDuration(busyInterval)
 	}
-	due = max(a.nextKeepalive(now, a.supervisor.NextContactDue(due)), now+minTickMS)
+	due = max(a.nextKeepalive(now, a.supervisor.NextContactDue(a.book.Due(due))), now+minTickMS)
 	if a.supervisor.Changed {
 		due = min(due, max(a.capacityReportedAt+a.reportInterval(), now+minTickMS))
 	}
--- a/internal/sched/metrics.go
+++ b/internal/sched/metrics.go
@@ -54,6 +54,11 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf("turmericbarrow_runs_ended_total{end=%q}", outcome)).Inc()
 }
 
+// recordNotice counts a notice to an agent: that a job waits, or that none does any more.
+func (m *Metrics) recordNotice(waiting bool) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("turmericbarrow_waiting_notices_total{waiting=\"%t\"}", waiting)).Inc()
+}
+
 func (m *Metrics) write(w io.Writer, g Gauges) {
 	m.set.WritePrometheus(w)
 	gauges := metrics.NewSet()
--- /dev/null
+++ b/internal/sched/offers.go
@@ -0,0 +1,56 @@
+package sched
+
+import (
+	"github.com/turmericbarrow/turmericbarrow/internal/clock"
+	"github.com/turmericbarrow/turmericbarrow/internal/link"
+	"github.com/turmericbarrow/turmericbarrow/internal/offer"
+	"github.com/turmericbarrow/turmericbarrow/internal/wire"
+)
+
+// noticeLogMS is the shortest interval between two log lines on notices.
+const noticeLogMS = 10 * clock.Second
+
+// notices counts the notices of waiting jobs since the last log line on them.
+type notices struct {
+	waiting  int
+	none     int
+	loggedAt clock.Millis
+}
+
+// sendNotices tells the agents of jobs that wait for capacity, and that none do any more.
+func (e *Entry) sendNotices(now clock.Millis) {
+	if !e.settings.CapacityOffers || !e.announcer.Due(now) {
+		return
+	}
+	for _, n := range e.announcer.Update(e.scheduler.Demand(now), now) {
+		e.metrics.recordNotice(n.Waiting)
+		if n.Waiting {
+			e.notices.waiting++
+		} else {
+			e.notices.none++
+		}
+		e.sendToAgent(n.Agent, noticeFrame(n, now))
+	}
+	e.logNotices(now)
+}
+
+// logNotices logs how many notices were sent, at most every noticeLogMS.
+func (e *Entry) logNotices(now clock.Millis) {
+	n := &e.notices
+	if n.waiting+n.none == 0 || now-n.loggedAt < noticeLogMS {
+		return
+	}
+	jobsToPlace, workersWithFreeCPU := e.scheduler.Counts()
+	e.log.Info("agents told of waiting jobs", "notices", n.waiting, "ended", n.none, "waiting", jobsToPlace, "open", workersWithFreeCPU)
+	*n = notices{loggedAt: now}
+}
+
+func noticeFrame(n offer.Notice, now clock.Millis) *wire.Frame {
+	m := &wire.Waiting{None: !n.Waiting}
+	if n.Waiting {
+		m.Size = link.EncodeSize(n.Demand.Size)
+		m.SlackMs = int64(n.Demand.LatestStart - now)
+		m.Started = n.Demand.Started
+	}
+	return &wire.Frame{Body: &wire.Frame_Waiting{Waiting: m}}
+}
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -21,6 +21,7 @@
 	"github.com/turmericbarrow/turmericbarrow/internal/host"
 	"github.com/turmericbarrow/turmericbarrow/internal/jobs"
 	"github.com/turmericbarrow/turmericbarrow/internal/link"
+	"github.com/turmericbarrow/turmericbarrow/internal/offer"
 	"github.com/turmericbarrow/turmericbarrow/internal/place"
 	"github.com/turmericbarrow/turmericbarrow/internal/roster"
 	"github.com/turmericbarrow/turmericbarrow/internal/wire"
@@ -72,6 +73,8 @@
 	// DrainMS bounds the whole graceful shutdown from Drain on, apart from linkCloseTimeout.
 	// It should be longer than ShutdownDelayMS, which is never cut short.
 	DrainMS clock.Millis
+	// CapacityOffers is set if agents are told of waiting jobs, so that they offer free capacity.
+	CapacityOffers bool
 }
 
 // Intervals and limits of an entry.
@@ -150,6 +153,9 @@
 	clock     Clock
 	log       *slog.Logger
 	scheduler *place.Scheduler
+	// announcer decides what agents are told of waiting jobs.
+	announcer *offer.Announcer
+	notices   notices
 	// terms are the terms in force, or nil before the first were received.
 	terms *contr.Terms
 	// termsSince is when terms came into force.
@@ -246,6 +252,7 @@
 		clock:          c,
 		log:            log,
 		scheduler:      place.New(s.Self.Location.Zone),
+		announcer:      offer.NewAnnouncer(),
 		termsSource:    source,
 		members:        m,
 		pause:          clock.NewPauseDetector(pauseLimitMS, clock.FromDuration(idleInterval)),
@@ -469,6 +476,7 @@
 func (e *Entry) onTick(ctx context.Context) {
 	now := e.clock.Now()
 	e.scheduler.Tick(now)
+	e.sendNotices(now)
 	e.sendKeepalives()
 	e.refreshMembers(ctx, now)
 	if now-e.selectedAt >= selectIntervalMS {
