--- a/internal/place/fleet_test.go
+++ b/internal/place/fleet_test.go
@@ -143,7 +143,7 @@
 	}
 	var entry int
 	fmt.Sscan(act.Entry, &entry)
-	if act.End.Outcome != jobs.OutcomeDone || !a.book.Reserves(a.supervisor.Free()) {
+	if f.reportsEnd(a, act.End) {
 		f.reportTo(a, entry)
 	}
 	f.send(func() {
--- a/internal/place/loads_test.go
+++ b/internal/place/loads_test.go
@@ -98,7 +98,10 @@
 	out := fmt.Sprintf("in time %.3f, late %.3f, refused %.3f, returned runs a job %.2f",
 		float64(f.inTime)/n, float64(f.late)/n, float64(f.refused)/n, float64(f.returned)/n)
 	if f.offers != nil {
-		out += fmt.Sprintf(", notices a job %.2f, offers %.2f", float64(f.offers.notices)/n, float64(f.offers.offers)/n)
+		entrySeconds := float64(f.until) / float64(clock.Second) * float64(len(f.entries))
+		agentSeconds := float64(f.until) / float64(clock.Second) * float64(len(f.agents))
+		out += fmt.Sprintf(", notices a second and entry %.0f, offers a second and agent %.1f, reports left out %.1f",
+			float64(f.offers.notices)/entrySeconds, float64(f.offers.offers)/agentSeconds, float64(f.offers.leftOut)/agentSeconds)
 	}
 	return out
 }
--- a/internal/place/offers_test.go
+++ b/internal/place/offers_test.go
@@ -6,16 +6,20 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/turmericbarrow/turmericbarrow/internal/jobs"
 	"github.com/turmericbarrow/turmericbarrow/internal/offer"
+	"github.com/turmericbarrow/turmericbarrow/internal/runs"
 )
 
 // fleetOffers holds the capacity offers of a fleet replay.
 type fleetOffers struct {
 	// announcers are those of the entries, in their order.
 	announcers []*offer.Announcer
-	// notices and offers count the frames.
+	// notices and offers count the frames, and leftOut the reports that were not sent with an
+	// ended run.
 	notices int
 	offers  int
+	leftOut int
 }
 
 func newFleetOffers(entries int) *fleetOffers {
@@ -58,6 +62,15 @@
 // workers that offers have to close. They close half of it over eight seeds; single seeds vary.
 const gapClosed = 0.4
 
+// reportsEnd reports whether the entry of an ended run gets a report.
+func (f *fleetReplay) reportsEnd(a *fleetAgent, end runs.RunEnd) bool {
+	if end.Outcome != jobs.OutcomeDone || !a.book.Reserves(a.supervisor.Free()) {
+		return true
+	}
+	f.offers.leftOut++
+	return false
+}
+
 // Without offers, entries refuse jobs and end them late while workers that they are linked to have
 // capacity, of which their reports are out of date.
 func TestOffersCloseTheGapToOneEntryThatSeesAll(t *testing.T) {
