--- a/internal/sched/offers.go
+++ b/internal/sched/offers.go
@@ -17,9 +17,10 @@
 	loggedAt clock.Millis
 }
 
-// sendNotices tells the agents of jobs that wait for capacity, and that none do any more.
+// sendNotices tells the agents of jobs that wait for capacity, and that none do any more. An entry
+// that knows no other one tells nothing, since it gets all reports at once.
 func (e *Entry) sendNotices(now clock.Millis) {
-	if !e.settings.CapacityOffers || !e.announcer.Due(now) {
+	if !e.settings.CapacityOffers || e.entryCount() < 2 || !e.announcer.Due(now) {
 		return
 	}
 	for _, n := range e.announcer.Update(e.scheduler.Demand(now), now) {
--- a/internal/sched/offers_test.go
+++ b/internal/sched/offers_test.go
@@ -26,11 +26,12 @@
 	return &wire.Frame{Body: &wire.Frame_Room{Room: &wire.Room{Speed: 1, Free: &wire.Size{MilliCpu: freeMilliCPU}}}}
 }
 
-// newFullEntry returns an entry with one linked agent, whose worker is full, and the function that
-// returns the notices that the entry has sent to it.
+// newFullEntry returns an entry that knows another one and has one linked agent, whose worker is
+// full, and the function that returns the notices that the entry has sent to it.
 func newFullEntry(t *testing.T) (*Entry, func() []*wire.Waiting) {
 	e := newTestEntry(t)
 	e.settings.CapacityOffers = true
+	e.addListed("10.0.0.2:7400", e.clock.Now())
 	sent := linkFakeAgent(e)
 	e.onFrame(e.agents["a"], roomFrame(0))
 	return e, func() []*wire.Waiting { return waitingFrames(sent()) }
@@ -93,3 +94,17 @@
 		require.Empty(t, notices())
 	})
 }
+
+// Agents of a lone entry would offer to it what they report at once without offers.
+func TestLoneEntrySendsNoNotice(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := newTestEntry(t)
+		e.settings.CapacityOffers = true
+		sent := linkFakeAgent(e)
+		e.onFrame(e.agents["a"], roomFrame(0))
+		submitTo(e, "1")
+		time.Sleep(100 * time.Millisecond)
+		e.onTick(t.Context())
+		require.Empty(t, waitingFrames(sent()))
+	})
+}
