--- a/internal/place/fleet_test.go
+++ b/internal/place/fleet_test.go
@@ -198,7 +198,7 @@
 			}
 			f.send(func() {
 				a.lastLaunch[i] = act.Number
-				a.book.Launched(fmt.Sprint(i))
+				f.recordLaunch(a, i)
 				a.supervisor.Launch(launched, f.now)
 			})
 		}
--- a/internal/place/loads_test.go
+++ b/internal/place/loads_test.go
@@ -100,8 +100,9 @@
 	if f.offers != nil {
 		entrySeconds := float64(f.until) / float64(clock.Second) * float64(len(f.entries))
 		agentSeconds := float64(f.until) / float64(clock.Second) * float64(len(f.agents))
-		out += fmt.Sprintf(", notices a second and entry %.0f, offers a second and agent %.1f, reports left out %.1f",
-			float64(f.offers.notices)/entrySeconds, float64(f.offers.offers)/agentSeconds, float64(f.offers.leftOut)/agentSeconds)
+		out += fmt.Sprintf(", notices a second and entry %.0f, offers a second and agent %.1f, used %.1f, reports left out %.1f",
+			float64(f.offers.notices)/entrySeconds, float64(f.offers.offers)/agentSeconds,
+			float64(f.offers.used)/agentSeconds, float64(f.offers.leftOut)/agentSeconds)
 	}
 	return out
 }
--- a/internal/place/offers_test.go
+++ b/internal/place/offers_test.go
@@ -20,6 +20,8 @@
 	notices int
 	offers  int
 	leftOut int
+	// used counts the offers that were answered with a launch.
+	used int
 }
 
 func newFleetOffers(entries int) *fleetOffers {
@@ -62,6 +64,13 @@
 // workers that offers have to close. They close half of it over eight seeds; single seeds vary.
 const gapClosed = 0.4
 
+// recordLaunch records that an entry has launched tasks at an agent.
+func (f *fleetReplay) recordLaunch(a *fleetAgent, entry int) {
+	if a.book.Launched(fmt.Sprint(entry)) {
+		f.offers.used++
+	}
+}
+
 // reportsEnd reports whether the entry of an ended run gets a report.
 func (f *fleetReplay) reportsEnd(a *fleetAgent, end runs.RunEnd) bool {
 	if end.Outcome != jobs.OutcomeDone || !a.book.Reserves(a.supervisor.Free()) {
