--- a/internal/place/fleet_test.go
+++ b/internal/place/fleet_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/turmericbarrow/turmericbarrow/internal/clock"
 	"github.com/turmericbarrow/turmericbarrow/internal/jobs"
+	"github.com/turmericbarrow/turmericbarrow/internal/offer"
 	"github.com/turmericbarrow/turmericbarrow/internal/runs"
 )
 
@@ -27,6 +28,9 @@
 	fleetTaskCPU                 = 3800
 )
 
+// contactMS is the interval at which frames prove to an agent that its entries are alive.
+const contactMS clock.Millis = 100
+
 // fleetAgent is an agent with its worker and the entries that it is linked to.
 type fleetAgent struct {
 	name       string
@@ -36,6 +40,7 @@
 	lastLaunch map[int]uint64
 	reportedAt clock.Millis
 	running    map[runs.RunID]clock.Millis
+	book       *offer.Book
 }
 
 // fleetReplay is one run of a load.
@@ -50,6 +55,12 @@
 	returned int
 	inTime   int
 	refused  int
+	// late counts the jobs that succeeded after their objective but soon enough to be of use.
+	late int
+	// until is the end of the load.
+	until clock.Millis
+	// offers holds the state of capacity offers; nil while there are none.
+	offers *fleetOffers
 }
 
 // newFleetReplay links each agent to random entries.
@@ -63,7 +74,7 @@
 		f.entries = append(f.entries, s)
 	}
 	for i := range agents {
-		a := &fleetAgent{name: fmt.Sprint("agent-", i), supervisor: runs.New(1209), speed: 1.2, lastLaunch: map[int]uint64{}, running: map[runs.RunID]clock.Millis{}}
+		a := &fleetAgent{name: fmt.Sprint("agent-", i), supervisor: runs.New(1209), speed: 1.2, lastLaunch: map[int]uint64{}, running: map[runs.RunID]clock.Millis{}, book: offer.NewBook()}
 		if i%4 == 0 {
 			a.speed = 0.55
 		}
@@ -102,6 +113,11 @@
 // stepAgent ends due runs, performs the supervisor's actions and reports when that is due.
 func (f *fleetReplay) stepAgent(a *fleetAgent) {
 	f.pollWorker(a)
+	if f.now%contactMS == 0 {
+		for _, e := range a.entries {
+			a.supervisor.RecordContact(fmt.Sprint(e), f.now-contactMS)
+		}
+	}
 	if f.now%20 == 0 {
 		a.supervisor.Tick(f.now)
 	}
@@ -118,6 +134,7 @@
 	if a.supervisor.NotifyNow || a.supervisor.Changed && f.now-a.reportedAt >= reportMS {
 		f.report(a)
 	}
+	f.offerCapacity(a)
 }
 
 func (f *fleetReplay) reportEnd(a *fleetAgent, act runs.Report) {
@@ -126,7 +143,9 @@
 	}
 	var entry int
 	fmt.Sscan(act.Entry, &entry)
-	f.reportTo(a, entry)
+	if f.reportsEnd(a, act.End) {
+		f.reportTo(a, entry)
+	}
 	f.send(func() {
 		f.entries[entry].RunEnded(a.name, act.End.Ref, act.End.Number, act.End.Outcome, act.End.RanMS, f.now)
 	})
@@ -155,13 +174,17 @@
 	s := f.entries[i]
 	if f.now%10 == 0 {
 		s.Tick(f.now)
+		f.announce(i)
 	}
 	for _, action := range s.TakeActions() {
 		switch act := action.(type) {
 		case Answer:
 			a := f.arrivals[act.Job.Spec.ID]
-			if act.Verdict == VerdictSucceeded && f.now-a.at <= a.objective() {
+			switch took := f.now - a.at; {
+			case act.Verdict == VerdictSucceeded && took <= a.objective():
 				f.inTime++
+			case act.Verdict == VerdictSucceeded && took <= LateFactor*a.objective():
+				f.late++
 			}
 			if act.Verdict == VerdictRefused {
 				f.refused++
@@ -175,6 +198,7 @@
 			}
 			f.send(func() {
 				a.lastLaunch[i] = act.Number
+				f.recordLaunch(a, i)
 				a.supervisor.Launch(launched, f.now)
 			})
 		}
@@ -189,7 +213,7 @@
 		connections[i] = r.IntN(len(f.entries))
 	}
 	next := 0
-	for ; f.now < fleetReplayMS+3000; f.now++ {
+	for ; f.now < f.until+3000; f.now++ {
 		for _, deliver := range f.messages[f.now] {
 			deliver()
 		}
@@ -225,13 +249,23 @@
 }
 
 func playFleet(entries, agents int, loadFraction float64, seed uint64) (*fleetReplay, []arrival) {
+	return playFleetKinds(entries, agents, fleetKinds(agents, loadFraction), fleetReplayMS, seed, false)
+}
+
+// playFleetKinds plays a load of the given kinds that arrive before until, with or without
+// capacity offers.
+func playFleetKinds(entries, agents int, kinds []jobKind, until clock.Millis, seed uint64, offers bool) (*fleetReplay, []arrival) {
 	var load []arrival
-	for _, a := range generateLoad(fleetKinds(agents, loadFraction), seed) {
-		if a.at < fleetReplayMS {
+	for _, a := range generateLoad(kinds, seed) {
+		if a.at < until {
 			load = append(load, a)
 		}
 	}
 	f := newFleetReplay(entries, agents, seed)
+	f.until = until
+	if offers {
+		f.offers = newFleetOffers(entries)
+	}
 	f.run(load, seed)
 	return f, load
 }
