contr: Documents that drain an availability zone

Cause: operators could retire an upstream or a host, but not a whole zone.

Change: a document zone/NAME drains the zone until it is deleted. Any name that a host's zone can have is accepted.

--- a/internal/contr/config.go
+++ b/internal/contr/config.go
@@ -5,15 +5,17 @@
 	"strings"
 
 	"github.com/juju/errors"
+
+	"github.com/turmericbarrow/turmericbarrow/internal/zone"
 )
 
-// Document is an accepted contract, or an accepted retirement of an upstream or host.
+// Document is an accepted contract, retirement of an upstream or host, or drain of a zone.
 type Document struct {
-	// Name is "contract/CUSTOMER", "upstream/NAME" or "host/NAME".
+	// Name is "contract/CUSTOMER", "upstream/NAME", "host/NAME" or "zone/NAME".
 	Name string `json:"name"`
 	// Version is the log offset of the amendment that last changed the document.
 	Version int64 `json:"version"`
-	// Text is the YAML of a contract, or the reason for a retirement.
+	// Text is the YAML of a contract, or the reason for a retirement or drain.
 	Text string `json:"text"`
 	// Deleted documents are kept so that a stale amendment can't restore them.
 	Deleted bool `json:"deleted,omitempty"`
@@ -63,6 +65,9 @@
 	Documents map[string]Document
 	// Contracts holds the parsed contracts by customer, without deleted ones.
 	Contracts map[string]*Contract
+	// Drains is the set of drained zones. Its revision is the version of the document that
+	// last changed it.
+	Drains zone.Drains
 	// Verdicts holds the outcomes of the latest amendments in log order, at most
 	// maxVerdicts.
 	Verdicts []Verdict
@@ -85,6 +90,7 @@
 	cf.Documents = map[string]Document{}
 	cf.Contracts = map[string]*Contract{}
 	cf.customerByTokenHash = map[string]string{}
+	cf.Drains = zone.Drains{}
 }
 
 // Amend accepts or rejects the amendment at a log offset and applies it if accepted. All
@@ -136,6 +142,9 @@
 	if a.Base != current {
 		return cf.conflictReason(a, current)
 	}
+	if name, isDrain := strings.CutPrefix(a.Name, PrefixZone); isDrain {
+		return cf.drainRejectReason(name, a)
+	}
 	customer, isContract := strings.CutPrefix(a.Name, PrefixContract)
 	if !isContract {
 		return retirementRejectReason(a.Name)
@@ -195,9 +204,10 @@
 }
 
 // setDocument stores a document and, if it is a contract, updates the parsed contracts and the
-// tokens. If the text of a contract can't be parsed, the customer has no contract in force.
+// tokens; if it is a drain, the drained zones. If the text of a contract can't be parsed, the customer has no contract in force.
 func (cf *Config) setDocument(d Document) {
 	cf.Documents[d.Name] = d
+	cf.setDrain(d)
 	customer, isContract := strings.CutPrefix(d.Name, PrefixContract)
 	if !isContract {
 		return
