slot, agent: Start nothing in a drained zone

Cause: an entry that has not yet received a drain still sends starts.

Change: an agent whose zone is drained completes new and queued tasks as not run and reports itself as leaving, as it does when its upstream leaves, so that entries try another upstream. Running tasks finish.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -329,6 +329,7 @@
 			a.queue.RemoveContract(customer)
 		}
 	}
+	a.applyDrain()
 	a.sendHeartbeats()
 }
 
--- a/internal/agent/frames.go
+++ b/internal/agent/frames.go
@@ -94,6 +94,6 @@
 		Name:    u.Name,
 		Slots:   int32(u.Slots),
 		Kinds:   u.Kinds,
-		Leaving: a.pool.Leaving,
+		Leaving: a.pool.Closed(),
 	}
 }
--- a/internal/agent/web.go
+++ b/internal/agent/web.go
@@ -50,6 +50,7 @@
 	Upstream      *slot.Upstream `json:"upstream"`
 	Leaving       bool           `json:"leaving"`
 	LeaveReason   string         `json:"reason,omitempty"`
+	ZoneDrained   bool           `json:"zone_drained"`
 	Running       int            `json:"running"`
 	Queued        int            `json:"queued"`
 	Started       uint64         `json:"started"`
@@ -92,6 +93,7 @@
 		Upstream:      a.pool.Upstream,
 		Leaving:       a.pool.Leaving,
 		LeaveReason:   a.pool.LeaveReason,
+		ZoneDrained:   a.pool.ZoneDrained,
 		Running:       a.pool.Running(),
 		Queued:        a.pool.Queued(),
 		Started:       a.pool.Started,
@@ -225,8 +227,16 @@
 	set.NewGauge("turmericbarrow_agent_running", func() float64 { return float64(s.Running) })
 	set.NewGauge("turmericbarrow_agent_queued", func() float64 { return float64(s.Queued) })
 	set.NewGauge("turmericbarrow_agent_links", func() float64 { return float64(len(s.Entries)) })
+	set.NewGauge("turmericbarrow_agent_zone_drained", func() float64 { return boolGauge(s.ZoneDrained) })
 	set.NewGauge("turmericbarrow_config_version", func() float64 { return float64(s.ConfigVersion) })
 	set.NewGauge("turmericbarrow_certificate_expiry_seconds", func() float64 { return float64(s.CertificateExpiry.Unix()) })
 	set.NewCounter("turmericbarrow_agent_tasks_started_total").Set(s.Started)
 	set.WritePrometheus(w)
 }
+
+func boolGauge(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/slot/drains.go
@@ -0,0 +1,24 @@
+package slot
+
+import "github.com/turmericbarrow/turmericbarrow/internal/clock"
+
+// zoneDrainedReason is the detail of tasks that are not started in a drained zone.
+const zoneDrainedReason = "the upstream's zone is drained"
+
+// SetZoneDrained records whether the zone of the upstream is drained. While it is, no task is
+// started: new tasks and queued ones are completed as not run, also those of an entry that does
+// not know of the drain yet. Running tasks continue.
+func (p *Pool) SetZoneDrained(drained bool, now clock.Millis) {
+	if drained == p.ZoneDrained {
+		return
+	}
+	p.ZoneDrained = drained
+	if drained {
+		p.returnQueued(zoneDrainedReason, now)
+	}
+}
+
+// Closed reports whether no new task is started: the upstream is leaving or its zone is drained.
+func (p *Pool) Closed() bool {
+	return p.Leaving || p.ZoneDrained
+}
--- a/internal/slot/slot.go
+++ b/internal/slot/slot.go
@@ -157,6 +157,8 @@
 	LeaveReason string
 	// Draining is set when the agent shuts down and is never cleared.
 	Draining bool
+	// ZoneDrained is set while the zone of the upstream is drained. SetZoneDrained sets it.
+	ZoneDrained bool
 	// Started counts the tasks that were sent to the upstream.
 	Started uint64
 
@@ -343,6 +345,9 @@
 	if p.Leaving {
 		return p.LeaveReason
 	}
+	if p.ZoneDrained {
+		return zoneDrainedReason
+	}
 	if !p.Settings.UnlimitedWindows && len(p.queued) >= max(minQueueLimit, maxQueuedPerSlot*p.Upstream.Slots) {
 		return "the agent's queue is full"
 	}
@@ -352,7 +357,7 @@
 // startQueued starts queued tasks while slots are free. Tasks whose deadline has passed are
 // completed as not run.
 func (p *Pool) startQueued(now clock.Millis) {
-	for p.Upstream != nil && !p.Leaving && len(p.running) < p.Upstream.Slots {
+	for p.Upstream != nil && !p.Closed() && len(p.running) < p.Upstream.Slots {
 		// Every kind runs on this upstream.
 		pick, ok := p.Queue.Next(now, func(string) bool { return true })
 		if !ok {
@@ -441,7 +446,7 @@
 		QueuedMS:    now - et.arrivedAt - service,
 		Load:        p.LoadFor(et.task.Entry),
 		RemoteUsage: total.minus(*own),
-		Leaving:     p.Leaving,
+		Leaving:     p.Closed(),
 	})
 }
 
