disp: Send nothing to drained zones

Change: upstreams in drained zones count as leaving. Submissions, also queued ones, whose upstreams are all in drained zones are refused at once as not run with a Retry-After: a drain lasts longer than any of them may wait. An agent's report that it is leaving no longer replaces the reason why an upstream is not used.

Result: go test -race ./internal/disp passes.

--- a/internal/disp/agents.go
+++ b/internal/disp/agents.go
@@ -109,8 +109,8 @@
 	d.dispatch(now)
 }
 
-// updateLeaving stops dispatching to an upstream that is leaving or was retired by an
-// operator, and resumes once neither applies.
+// updateLeaving stops dispatching to an upstream that is leaving, was retired by an operator or
+// is in a drained zone, and resumes once none of these applies.
 func (d *Dispatcher) updateLeaving(u *route.Upstream, s AgentState) {
 	if d.Config.Retired(contr.PrefixUpstream, u.Name) {
 		d.Fleet.SetLeaving(u.ID, true, "retired by an operator")
@@ -120,6 +120,10 @@
 		d.Fleet.SetLeaving(u.ID, true, "its host is retired by an operator")
 		return
 	}
+	if d.Config.Drains.Contains(s.Agent.Location.Zone) {
+		d.Fleet.SetLeaving(u.ID, true, "its zone is drained by an operator")
+		return
+	}
 	d.Fleet.SetLeaving(u.ID, s.Leaving, "the upstream is leaving")
 }
 
@@ -194,7 +198,7 @@
 // for an attempt that has already ended, does not affect any submission.
 func (d *Dispatcher) HandleOutcome(agent string, id MessageID, o Outcome, now clock.Millis) {
 	d.Counters.Messages++
-	if o.Leaving {
+	if u := d.Fleet.Get(agent); o.Leaving && u != nil && u.Health != route.HealthLeaving {
 		d.Fleet.SetLeaving(agent, true, "the upstream is leaving")
 	}
 	a := d.attempts[id]
@@ -300,7 +304,7 @@
 		return false
 	}
 	if o.Type == OutcomeNotRun {
-		return ex.notRun < maxNotRunRetries+len(ex.tasks)
+		return ex.notRun < maxNotRunRetries+len(ex.tasks) && !d.servedOnlyInDrainedZones(ex.submission.Kind)
 	}
 	return ex.submission.Idempotent && !ex.submission.Job && d.RetryBudgets.Spend(ex.submission.Customer)
 }
--- a/internal/disp/apply.go
+++ b/internal/disp/apply.go
@@ -60,8 +60,8 @@
 	d.expireTransferred(now)
 }
 
-// ConfigChanged applies changes of contracts and of retired upstreams and hosts. It must
-// be called after Config has been updated with the changed documents.
+// ConfigChanged applies changes of contracts, of retired upstreams and hosts, and of drained
+// zones. It must be called after Config has been updated with the changed documents.
 func (d *Dispatcher) ConfigChanged(changed []contr.Document, now clock.Millis) {
 	for _, doc := range changed {
 		customer, isContract := strings.CutPrefix(doc.Name, contr.PrefixContract)
@@ -72,6 +72,7 @@
 	for id, state := range d.agents {
 		d.updateLeaving(d.Fleet.Get(id), state)
 	}
+	d.refuseInDrainedZones(now)
 	d.dispatch(now)
 }
 
--- /dev/null
+++ b/internal/disp/drains.go
@@ -0,0 +1,58 @@
+package disp
+
+import (
+	"github.com/turmericbarrow/turmericbarrow/internal/clock"
+	"github.com/turmericbarrow/turmericbarrow/internal/reply"
+)
+
+// UpstreamsInDrainedZones returns the number of known upstreams in drained zones.
+func (d *Dispatcher) UpstreamsInDrainedZones() int {
+	n := 0
+	for _, state := range d.agents {
+		if d.Config.Drains.Contains(state.Agent.Location.Zone) {
+			n++
+		}
+	}
+	return n
+}
+
+// servedOnlyInDrainedZones reports whether all known upstreams that serve a kind are in drained
+// zones, and there is at least one.
+func (d *Dispatcher) servedOnlyInDrainedZones(kind string) bool {
+	drained := false
+	for id, state := range d.agents {
+		if !d.Fleet.Get(id).Kinds[kind] {
+			continue
+		}
+		if !d.Config.Drains.Contains(state.Agent.Location.Zone) {
+			return false
+		}
+		drained = true
+	}
+	return drained
+}
+
+// drainedZonesProblem returns the problem of a submission whose upstreams are all in drained
+// zones.
+func (d *Dispatcher) drainedZonesProblem(kind string) *reply.Problem {
+	return &reply.Problem{Type: reply.TypeNoUpstream, RetryAfter: noUpstreamRetryMS,
+		Detail: "all upstreams that serve kind " + kind + " are in drained zones"}
+}
+
+// refuseInDrainedZones ends the submissions that have not started and whose upstreams are all in
+// drained zones: a drain lasts longer than any of them may wait.
+func (d *Dispatcher) refuseInDrainedZones(now clock.Millis) {
+	if len(d.Config.Drains.Zones) == 0 {
+		return
+	}
+	for _, ex := range d.executions {
+		kind := ex.submission.Kind
+		if ex.ran() != reply.RanNo || d.reconnectingSlots(kind, now) > 0 || !d.servedOnlyInDrainedZones(kind) {
+			continue
+		}
+		p := d.drainedZonesProblem(kind)
+		p.Ran = reply.RanNo
+		p.Version = ex.contractVersion
+		d.finishExecution(ex, reply.Answer{Request: ex.submission.Request, Problem: p}, now)
+	}
+}
