entry, cli: Drain, resume and list zones by command

Change: commands zone drain, zone resume and zone list; status, the state dump and metrics show the drained zones. A zone that the entry knows no host of is drained with a warning.

--- a/internal/entry/links.go
+++ b/internal/entry/links.go
@@ -229,6 +229,7 @@
 	e.disp.ConfigChanged(changed, now)
 	e.callers.setReady(e.phase == phaseServing)
 	e.log.Info("configuration in force", "version", e.config.Version, "changed", len(changed))
+	e.logDrains(changed)
 	for _, a := range e.agents {
 		e.sendConfig(a.link, a.configVersion)
 		a.configVersion = max(a.configVersion, e.config.Version)
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"slices"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -23,6 +24,8 @@
 	Log               LogState         `json:"log"`
 	Grants            GrantState       `json:"grants"`
 	Upstreams         []route.Upstream `json:"upstreams"`
+	DrainedZones      []string         `json:"drained_zones"`
+	DrainedUpstreams  int              `json:"drained_upstreams"`
 	Entries           []roster.Member  `json:"entries"`
 	Agents            []host.Host      `json:"agents"`
 	QueuedTasks       int              `json:"waiting"`
@@ -72,11 +75,13 @@
 			HeldRanges:  e.heldRanges(),
 			DurationMS:  int64(e.disp.GrantDurationMS),
 		},
-		Entries:     e.disp.Roster.Up(e.clock.Now()),
-		QueuedTasks: e.disp.Queue.Len(),
-		Keys:        e.disp.KeyTable.Len(),
-		AnswerBytes: e.disp.KeyTable.AnswerBytes,
-		Counters:    e.disp.Counters,
+		DrainedZones:     slices.Clone(e.config.Drains.Zones),
+		DrainedUpstreams: e.disp.UpstreamsInDrainedZones(),
+		Entries:          e.disp.Roster.Up(e.clock.Now()),
+		QueuedTasks:      e.disp.Queue.Len(),
+		Keys:             e.disp.KeyTable.Len(),
+		AnswerBytes:      e.disp.KeyTable.AnswerBytes,
+		Counters:         e.disp.Counters,
 	}
 	for _, u := range e.disp.Fleet.All() {
 		s.Upstreams = append(s.Upstreams, u.Copy())
@@ -124,6 +129,8 @@
 	gauge("entry_keys", float64(s.Keys))
 	gauge("entry_answer_bytes", float64(s.AnswerBytes))
 	gauge("entry_upstreams", float64(len(s.Upstreams)))
+	gauge("entry_zones_drained", float64(len(s.DrainedZones)))
+	gauge("entry_upstreams_drained", float64(s.DrainedUpstreams))
 	gauge("entry_ranges_held", float64(s.Grants.HeldRanges))
 	gauge("entry_log_readable", boolGauge(s.Log.GrantsReadable && s.Log.ConfigReadable))
 	counter("submitted_total", s.Counters.Submitted)
--- a/pkg/cli/cli.go
+++ b/pkg/cli/cli.go
@@ -60,6 +60,7 @@
 		a.contractCommand(),
 		a.retireCommands("upstream"),
 		a.retireCommands("host"),
+		a.zoneCommand(),
 		a.statusCommand(),
 		a.dumpCommand(),
 		a.explainCommand(),
--- a/pkg/cli/cli_test.go
+++ b/pkg/cli/cli_test.go
@@ -58,7 +58,7 @@
 
 func TestEveryCommandHasAnExample(t *testing.T) {
 	for _, c := range []string{"entry", "agent", "dev", "measure", "contract plan", "contract apply", "contract get", "contract history",
-		"contract validate", "upstream list", "upstream retire", "host list", "host retire", "status", "dump", "explain", "keys new", "version"} {
+		"contract validate", "upstream list", "upstream retire", "host list", "host retire", "zone drain", "zone resume", "zone list", "status", "dump", "explain", "keys new", "version"} {
 		code, out, _ := run(append(strings.Fields(c), "--help")...)
 		require.Zero(t, code, c)
 		require.Contains(t, out, "Examples:", c)
--- a/pkg/cli/inspect.go
+++ b/pkg/cli/inspect.go
@@ -75,6 +75,9 @@
 	fmt.Fprintf(t, "key ranges held\t%d\n", s.Grants.HeldRanges)
 	fmt.Fprintf(t, "certificate ends\t%s\n", s.CertificateExpiry.Format(time.RFC3339))
 	fmt.Fprintf(t, "waiting\t%d\n", s.QueuedTasks)
+	if len(s.DrainedZones) > 0 {
+		fmt.Fprintf(t, "drained zones\t%s (%d upstreams)\n", strings.Join(s.DrainedZones, ", "), s.DrainedUpstreams)
+	}
 	fmt.Fprintln(t, "\nPROCESS\tCONFIGURATION")
 	var names []string
 	for n := range s.ConfigVersions {
