place: Refuse jobs that come back from the last drained zone

Cause: a job whose tasks an agent in a drained zone returned as not run, after the entry had put the drain in force, waited for its queue deadline although all zones that it fits on were drained.

Change: such a job is refused at once as not run, like jobs that arrive or wait.

--- a/internal/place/events.go
+++ b/internal/place/events.go
@@ -166,6 +166,8 @@
 		s.finish(j, VerdictFailed, ReasonMaxAttempts, now)
 	case t.Run >= 1<<maxRunDoublings:
 		s.finish(j, VerdictUnknown, ReasonWorkerLost, now)
+	case !j.Started && s.onlyInDrainedZones(j):
+		s.finish(j, VerdictRefused, ReasonZonesDrained, now)
 	default:
 		s.requeue(j)
 	}
