disp: Wait for reconnecting upstreams of zones in use during a drain

Cause: a task that an agent in a drained zone returned was refused although the agent of another zone was about to reconnect, for which requests wait otherwise.

Change: the check for upstreams in drained zones only counts upstreams whose agents may reconnect.

Result: TestTaskWaitsForAReconnectingZoneInUse fails without the change and passes with it.

--- a/internal/disp/agents.go
+++ b/internal/disp/agents.go
@@ -304,7 +304,7 @@
 		return false
 	}
 	if o.Type == OutcomeNotRun {
-		return ex.notRun < maxNotRunRetries+len(ex.tasks) && !d.servedOnlyInDrainedZones(ex.submission.Kind)
+		return ex.notRun < maxNotRunRetries+len(ex.tasks) && !d.servedOnlyInDrainedZones(ex.submission.Kind, now)
 	}
 	return ex.submission.Idempotent && !ex.submission.Job && d.RetryBudgets.Spend(ex.submission.Customer)
 }
--- a/internal/disp/drains.go
+++ b/internal/disp/drains.go
@@ -16,9 +16,12 @@
 	return n
 }
 
-// servedOnlyInDrainedZones reports whether all known upstreams that serve a kind are in drained
-// zones, and there is at least one.
-func (d *Dispatcher) servedOnlyInDrainedZones(kind string) bool {
+// servedOnlyInDrainedZones reports whether all upstreams that serve a kind are in drained zones, and
+// there is at least one. Upstreams whose agents may reconnect soon count.
+func (d *Dispatcher) servedOnlyInDrainedZones(kind string, now clock.Millis) bool {
+	if len(d.Config.Drains.Zones) == 0 || d.reconnectingSlots(kind, now) > 0 {
+		return false
+	}
 	drained := false
 	for id, state := range d.agents {
 		if !d.Fleet.Get(id).Kinds[kind] {
@@ -42,12 +45,9 @@
 // refuseInDrainedZones ends the submissions that have not started and whose upstreams are all in
 // drained zones: a drain lasts longer than any of them may wait.
 func (d *Dispatcher) refuseInDrainedZones(now clock.Millis) {
-	if len(d.Config.Drains.Zones) == 0 {
-		return
-	}
 	for _, ex := range d.executions {
 		kind := ex.submission.Kind
-		if ex.ran() != reply.RanNo || d.reconnectingSlots(kind, now) > 0 || !d.servedOnlyInDrainedZones(kind) {
+		if ex.ran() != reply.RanNo || !d.servedOnlyInDrainedZones(kind, now) {
 			continue
 		}
 		p := d.drainedZonesProblem(kind)
--- a/internal/disp/drains_test.go
+++ b/internal/disp/drains_test.go
@@ -72,6 +72,22 @@
 	require.Contains(t, h.Fleet.Get("agent-a").Reason, "zone")
 }
 
+// Guards against a refusal while the agent of the zone in use reconnects.
+func TestTaskWaitsForAReconnectingZoneInUse(t *testing.T) {
+	h := newZonesHarness(t, "a", "b")
+	h.submit(h.newSubmission("check", "", 1))
+	h.submit(h.newSubmission("check", "", 1))
+	h.RemoveAgent("agent-b", "link lost", h.now)
+	h.setDrained("a", true, 10)
+	for _, s := range h.starts {
+		h.finish(s, disp.Outcome{Type: disp.OutcomeNotRun, Leaving: true})
+	}
+	require.Empty(t, h.answers)
+	h.withAgent(agentIn("b"), 2)
+	h.collectActions()
+	require.Len(t, h.starts, 4)
+}
+
 // Guards against a refusal while another zone still serves: the agent knew of the drain first.
 func TestTaskReturnedFromADrainedZoneIsSentElsewhere(t *testing.T) {
 	h := newZonesHarness(t, "a", "b")
--- a/internal/disp/submit.go
+++ b/internal/disp/submit.go
@@ -101,7 +101,7 @@
 	if d.Fleet.Serves(s.Kind) || d.reconnectingSlots(s.Kind, now) > 0 {
 		return nil
 	}
-	if d.servedOnlyInDrainedZones(s.Kind) {
+	if d.servedOnlyInDrainedZones(s.Kind, now) {
 		return d.drainedZonesProblem(s.Kind)
 	}
 	return &reply.Problem{Type: reply.TypeNoUpstream, RetryAfter: noUpstreamRetryMS,
