slot: Start no more tasks than the upstream has connections

Cause: with more slots than connections, started tasks waited for a connection in the HTTP client, and could reach the upstream after its zone was drained or it had left.

Change: such tasks stay in the agent's queue, from which they are returned.

No upstream in this repository announces fewer connections than slots.

--- a/internal/agent/drains_test.go
+++ b/internal/agent/drains_test.go
@@ -31,7 +31,7 @@
 func TestAgentThatKnowsOfTheDrainRefusesStartsOfAnEntryThatDoesNot(t *testing.T) {
 	self := host.Host{Name: "minion", Role: host.RoleAgent, Location: zone.Location{Region: "r", Zone: "a"}}
 	a := New(Settings{Self: self}, clock.New(), fair.New(), slog.New(slog.NewTextHandler(io.Discard, nil)))
-	a.pool.Announce(slot.Upstream{Name: "u", Slots: 1, HoldMS: 5000}, a.clock.Now())
+	a.pool.Announce(slot.Upstream{Name: "u", Slots: 1, Connections: 1, HoldMS: 5000}, a.clock.Now())
 	sent := map[string]func() []*wire.Frame{}
 	for _, entry := range []string{"knowing", "unaware"} {
 		a.links[entry], sent[entry] = link.NewUnconnected(host.Host{Name: entry, Incarnation: entry, Role: host.RoleEntry})
--- a/internal/slot/slot.go
+++ b/internal/slot/slot.go
@@ -354,10 +354,11 @@
 	return ""
 }
 
-// startQueued starts queued tasks while slots are free. Tasks whose deadline has passed are
+// startQueued starts queued tasks while slots and connections are free: a task that waited for a
+// connection could start after the pool was closed. Tasks whose deadline has passed are
 // completed as not run.
 func (p *Pool) startQueued(now clock.Millis) {
-	for p.Upstream != nil && !p.Closed() && len(p.running) < p.Upstream.Slots {
+	for p.Upstream != nil && !p.Closed() && len(p.running) < min(p.Upstream.Slots, p.Upstream.Connections) {
 		// Every kind runs on this upstream.
 		pick, ok := p.Queue.Next(now, func(string) bool { return true })
 		if !ok {
