place: A claimed run can be stopped again

A run on a stalled worker was stopped, the stop went to an agent process that was just killed, and the process that took the run over was sent none when the caller left, since the run counted as being stopped. It was at work until the agent missed its entry, 1.5 s later, when the caller had submitted the job again.

Change: a claim clears the mark of the stop, as the listing of a held run does.

--- a/internal/place/reconcile.go
+++ b/internal/place/reconcile.go
@@ -35,14 +35,14 @@
 }
 
 // claim sends a launch with which a new agent process takes over a run that it found at
-// its worker.
+// its worker. A stop of the run went to the earlier process, and may be needed again.
 func (s *Scheduler) claim(j *Job, t *Task, agent string) {
 	w := s.Workers[agent]
 	l := s.newLaunch(j, launchKey{agent, t.ID.Step}, w)
 	l.Tasks = []LaunchTask{{ID: t.ID, Run: t.Run}}
 	l.Claim = true
 	w.unacked = append(w.unacked, unackedTask{launch: l.Number, size: l.Size})
-	t.State = TaskSent
+	t.State, t.Stopping = TaskSent, false
 	s.actions = append(s.actions, *l)
 }
 
