--- a/internal/place/schedule.go
+++ b/internal/place/schedule.go
@@ -279,7 +279,11 @@
 		j.Answered = true
 		s.dequeue(j)
 		delete(s.Jobs, j.Spec.ID)
-		s.emitAnswer(Answer{Job: j, Verdict: VerdictRefused, Reason: ReasonOverload,
+		reason := s.unservedReason(j)
+		if reason == ReasonNone {
+			reason = ReasonOverload
+		}
+		s.emitAnswer(Answer{Job: j, Verdict: VerdictRefused, Reason: reason,
 			RetryAfter: s.retryAfter(j.Queue.Fleet), View: s.fleetView(j.Queue.Fleet, now)})
 	}
 }
--- a/internal/place/startup_test.go
+++ b/internal/place/startup_test.go
@@ -35,3 +35,13 @@
 	s.Submit(newSubmission("a", 1, 50), 1000)
 	require.Equal(t, ReasonNoWorker, takeAnswers(s)[0].Reason)
 }
+
+// Such a job was answered like one that was refused for overload, which tells its caller to come
+// back soon.
+func TestJobThatFitsNoWorkerAfterAStartIsRefusedForThat(t *testing.T) {
+	s := newScheduler(newWorker("w", 1, 1))
+	s.AwaitWorkersUntil = 1000
+	s.Submit(newSubmission("a", 1, 50), 100)
+	s.Tick(s.Jobs["a"].ArrivedAt + LateFactor*s.Jobs["a"].Objective)
+	require.Equal(t, ReasonNeverFits, takeAnswers(s)[0].Reason)
+}
--- a/internal/place/submit.go
+++ b/internal/place/submit.go
@@ -64,6 +64,12 @@
 	if now < s.AwaitWorkersUntil {
 		return ReasonNone
 	}
+	return s.unservedReason(j)
+}
+
+// unservedReason returns why no known worker can ever run a step of j as things stand, or
+// ReasonNone.
+func (s *Scheduler) unservedReason(j *Job) Reason {
 	fleetKnown := false
 	for _, st := range j.Spec.Steps {
 		fits := false
--- a/pkg/cli/cli.go
+++ b/pkg/cli/cli.go
@@ -65,6 +65,7 @@
 		a.checkCommand(),
 		a.retireCommands("upstream"),
 		a.retireCommands("host"),
+		a.zoneCommand(),
 		a.statusCommand(),
 		a.dumpCommand(),
 		a.explainCommand(),
