place: Replay of the load of look-ahead placement, and benchmarks

Cause: no replay had tasks of different sizes, tasks that last far longer than their kind, or callers that give up, so that the effect of look-ahead placement on large jobs could not be measured.

Change: TestLookAheadReplay plays the load of section 5 of load-and-drains.md through 14 entries and 60 agents, and through one entry and 12 agents. One job in ten has tasks of four tenths of a worker. The fleet replay counts verdicts by job, stops abandoned runs, and records contacts with entries if asked to: without them an agent starts nothing beside a run of more than a second. Two benchmarks, of a tick and of a submission; the package had none.

--- /dev/null
+++ b/internal/place/ahead_test.go
@@ -0,0 +1,230 @@
+package place
+
+import (
+	"flag"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/turmericbarrow/turmericbarrow/internal/clock"
+	"github.com/turmericbarrow/turmericbarrow/internal/jobs"
+)
+
+// The load of look-ahead placement: tasks of a tenth of a worker, and in one job of ten tasks of
+// four tenths. A few percent of the tasks last far longer than their kind.
+
+const (
+	smallTaskCPU      = fleetWorkerCPUs * 1000 / 10
+	largeTaskCPU      = 4 * smallTaskCPU
+	largeShare        = 0.1
+	stragglerShare    = 0.03
+	stragglerFactor   = 7
+	aheadReplayMS     = clock.Millis(10_000)
+	aheadCallerWaitMS = clock.Millis(1500)
+)
+
+var aheadSeeds = flag.Uint64("ahead-seeds", 1, "seeds of each replay of look-ahead placement")
+
+// aheadLoad is a load of the kinds of section 5 of docs/design/load-and-drains.md. Its rates are
+// multiples of the capacity of the fleet.
+type aheadLoad struct {
+	name string
+	// calm is the rate of all kinds outside of bursts.
+	calm float64
+	// burst is the rate of each kind from burstFrom to burstTo; zero for the calm one.
+	burst [3]float64
+}
+
+var aheadLoads = []aheadLoad{
+	{name: "calm", calm: 0.67},
+	{name: "busy", calm: 0.9},
+	{name: "stated rate", calm: 1.52},
+	{name: "burst of short", calm: 0.67, burst: [3]float64{1.7, 0, 0}},
+	{name: "burst of long", calm: 0.67, burst: [3]float64{0, 1.7, 0}},
+	{name: "burst of middle", calm: 0.67, burst: [3]float64{0, 0, 1.7}},
+}
+
+// kinds returns the kinds for a number of agents. The kinds are mixed as in fleetKinds.
+func (l aheadLoad) kinds(agents int) []jobKind {
+	kinds := fleetKinds(agents, 1)
+	meanWork := math.Exp(logStdDev*logStdDev/2) * (1 + stragglerShare*(stragglerFactor-1))
+	meanCPU := smallTaskCPU + largeShare*(largeTaskCPU-smallTaskCPU)
+	perJob := func(k jobKind) float64 { return float64(k.tasks) * k.workMS / 1000 * meanWork * meanCPU }
+	total := 0.0
+	for _, k := range kinds {
+		total += k.perSecond * perJob(k)
+	}
+	capacity := float64(agents) * fleetWorkerCPUs * 1000 * (0.75*1.2 + 0.25*0.55)
+	for i := range kinds {
+		k := &kinds[i]
+		k.perSecond *= l.calm * capacity / total
+		if l.burst[i] > 0 {
+			k.burst = l.burst[i] * capacity / perJob(*k) / k.perSecond
+		}
+	}
+	return kinds
+}
+
+// generate returns the load for a seed.
+func (l aheadLoad) generate(agents int, seed uint64) []arrival {
+	r := rand.New(rand.NewPCG(seed, 2))
+	var load []arrival
+	for _, a := range generateLoad(l.kinds(agents), seed) {
+		if a.at >= aheadReplayMS {
+			break
+		}
+		a.milliCPU = smallTaskCPU
+		if r.Float64() < largeShare {
+			a.milliCPU = largeTaskCPU
+		}
+		for i := range a.taskWorkMS {
+			if r.Float64() < stragglerShare {
+				a.taskWorkMS[i] *= stragglerFactor
+			}
+		}
+		load = append(load, a)
+	}
+	return load
+}
+
+// share counts the jobs of a group by outcome.
+type share struct {
+	jobs, inTime, late, refused int
+}
+
+// worth returns the mean worth of the jobs: a late answer is worth a fifth.
+func (s share) worth() float64 {
+	return (float64(s.inTime) + 0.2*float64(s.late)) / float64(s.jobs)
+}
+
+func (s share) String() string {
+	n := float64(s.jobs)
+	return fmt.Sprintf("%.3f %.3f %.3f", s.worth(), float64(s.inTime)/n, float64(s.refused)/n)
+}
+
+// aheadGroups are the groups of jobs that are counted: all, by kind, and the largest tenth.
+var aheadGroups = []string{"all", "short", "long", "middle", "largest"}
+
+// aheadResult counts the jobs of some replays of a load.
+type aheadResult struct {
+	groups   [5]share
+	returned int
+}
+
+func (res *aheadResult) count(load []arrival, f *fleetReplay) {
+	for _, a := range load {
+		groups := []int{0, 1 + a.kind}
+		if a.milliCPU == largeTaskCPU {
+			groups = append(groups, 4)
+		}
+		answer := f.answers[a.id]
+		took := answer.at - a.at
+		for _, g := range groups {
+			s := &res.groups[g]
+			s.jobs++
+			switch {
+			case answer.verdict == VerdictRefused:
+				s.refused++
+			case answer.verdict == VerdictSucceeded && took <= a.objective():
+				s.inTime++
+			case answer.verdict == VerdictSucceeded && took <= LateFactor*a.objective():
+				s.late++
+			}
+		}
+	}
+	res.returned += f.returned
+}
+
+// playAhead replays a load with the seeds of the flag.
+func playAhead(l aheadLoad, entries, agents int) aheadResult {
+	var res aheadResult
+	for seed := range *aheadSeeds {
+		f := newFleetReplay(entries, agents, seed)
+		f.untilMS, f.callerTimeoutMS, f.recordContacts = aheadReplayMS, aheadCallerWaitMS, true
+		load := l.generate(agents, seed)
+		f.run(load, seed)
+		res.count(load, f)
+	}
+	return res
+}
+
+func (res *aheadResult) log(t *testing.T, name string) {
+	line := ""
+	for i, group := range aheadGroups {
+		line += fmt.Sprintf(" | %s %s", group, res.groups[i])
+	}
+	t.Logf("%s%s | returned %.2f", name, line, float64(res.returned)/float64(res.groups[0].jobs))
+}
+
+// Shows worth, share in time and share refused by load and group of jobs. The large jobs wait for
+// gaps that small ones keep taking.
+func TestLookAheadReplay(t *testing.T) {
+	for _, l := range aheadLoads {
+		for _, entries := range []int{14, 1} {
+			agents := 60
+			if entries == 1 {
+				agents = 12
+			}
+			res := playAhead(l, entries, agents)
+			res.log(t, fmt.Sprintf("%s, %d", l.name, entries))
+		}
+	}
+}
+
+// benchmarkWorkers is the number of workers that an entry of a large deployment sees.
+const benchmarkWorkers = 26
+
+// newWaitingScheduler returns a scheduler whose workers are nearly full, and jobs that wait for
+// them. The first workers have a small gap left.
+func newWaitingScheduler(jobsToPlace, withGap int) *Scheduler {
+	s := New("z")
+	for i := range benchmarkWorkers {
+		w := newWorker(fmt.Sprint("w", i), fleetWorkerCPUs, 1)
+		w.ReportedFree.MilliCPU = 0
+		if i < withGap {
+			w.ReportedFree.MilliCPU = smallTaskCPU
+		}
+		s.UpdateWorker(Report{Worker: w}, 0)
+	}
+	for i := range jobsToPlace {
+		sub := newSubmission(fmt.Sprint("j", i), 4, 1000)
+		sub.Spec.Steps[0].Size.MilliCPU = largeTaskCPU
+		s.Submit(sub, 0)
+	}
+	return s
+}
+
+// BenchmarkTick measures a tick of an entry that cannot place any of its jobs.
+func BenchmarkTick(b *testing.B) {
+	for _, n := range []int{1, 20, 200} {
+		s := newWaitingScheduler(n, benchmarkWorkers)
+		b.Run(fmt.Sprint(n, " jobs"), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				s.Tick(10)
+			}
+		})
+	}
+}
+
+// BenchmarkSubmit measures the admission, placement and end of a job of 8 tasks while 20 others
+// wait.
+func BenchmarkSubmit(b *testing.B) {
+	s := newWaitingScheduler(20, benchmarkWorkers/2)
+	sub := newSubmission("short", 8, 60)
+	sub.Spec.Steps[0].Size.MilliCPU = smallTaskCPU
+	b.ReportAllocs()
+	for b.Loop() {
+		s.Submit(sub, 10)
+		for _, l := range takeLaunches(s) {
+			for i := range l.Tasks {
+				endRun(s, l, i, jobs.OutcomeDone, 10)
+			}
+			w := *s.Workers[l.Agent]
+			w.unacked = nil
+			s.UpdateWorker(Report{Worker: w, AckedLaunch: l.Number}, 10)
+		}
+		s.TakeActions()
+	}
+}
--- a/internal/place/fleet_test.go
+++ b/internal/place/fleet_test.go
@@ -1,6 +1,7 @@
 package place
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"sort"
@@ -36,6 +37,7 @@
 	lastLaunch map[int]uint64
 	reportedAt clock.Millis
 	running    map[runs.RunID]clock.Millis
+	stopped    map[runs.RunID]bool
 }
 
 // fleetReplay is one run of a load.
@@ -50,12 +52,28 @@
 	returned int
 	inTime   int
 	refused  int
+	// untilMS is the length of the load.
+	untilMS clock.Millis
+	// callerTimeoutMS is how long callers wait; zero if they wait indefinitely, in which case runs
+	// of abandoned jobs continue.
+	callerTimeoutMS clock.Millis
+	// recordContacts is set if agents learn that entries are alive. Otherwise they start nothing
+	// beside a run of more than a second.
+	recordContacts bool
+	// answers holds when each job was answered, and with which verdict.
+	answers map[jobs.ID]fleetAnswer
+}
+
+type fleetAnswer struct {
+	verdict Verdict
+	at      clock.Millis
 }
 
 // newFleetReplay links each agent to random entries.
 func newFleetReplay(entries, agents int, seed uint64) *fleetReplay {
 	r := rand.New(rand.NewPCG(seed, 7))
-	f := &fleetReplay{byName: map[string]*fleetAgent{}, messages: map[clock.Millis][]func(){}, arrivals: map[jobs.ID]*arrival{}}
+	f := &fleetReplay{byName: map[string]*fleetAgent{}, messages: map[clock.Millis][]func(){}, arrivals: map[jobs.ID]*arrival{},
+		untilMS: fleetReplayMS, answers: map[jobs.ID]fleetAnswer{}}
 	for i := range entries {
 		s := New("z")
 		s.Seed(uint64(i))
@@ -63,7 +81,7 @@
 		f.entries = append(f.entries, s)
 	}
 	for i := range agents {
-		a := &fleetAgent{name: fmt.Sprint("agent-", i), supervisor: runs.New(1209), speed: 1.2, lastLaunch: map[int]uint64{}, running: map[runs.RunID]clock.Millis{}}
+		a := &fleetAgent{name: fmt.Sprint("agent-", i), supervisor: runs.New(1209), speed: 1.2, lastLaunch: map[int]uint64{}, running: map[runs.RunID]clock.Millis{}, stopped: map[runs.RunID]bool{}}
 		if i%4 == 0 {
 			a.speed = 0.55
 		}
@@ -103,6 +121,7 @@
 func (f *fleetReplay) stepAgent(a *fleetAgent) {
 	f.pollWorker(a)
 	if f.now%20 == 0 {
+		f.recordContact(a)
 		a.supervisor.Tick(f.now)
 	}
 	for _, action := range a.supervisor.TakeActions() {
@@ -113,6 +132,8 @@
 			a.supervisor.HandleStartOutcome(act.Run.Ref, act.Run.Entry, act.Run.Number, runs.StartOK, f.now)
 		case runs.Report:
 			f.reportEnd(a, act)
+		case runs.Stop:
+			a.stopped[runs.RunID{Ref: act.Run.Ref, Number: act.Run.Number}] = true
 		}
 	}
 	if a.supervisor.NotifyNow || a.supervisor.Changed && f.now-a.reportedAt >= reportMS {
@@ -120,6 +141,15 @@
 	}
 }
 
+func (f *fleetReplay) recordContact(a *fleetAgent) {
+	if !f.recordContacts {
+		return
+	}
+	for _, e := range a.entries {
+		a.supervisor.RecordContact(fmt.Sprint(e), f.now)
+	}
+}
+
 func (f *fleetReplay) reportEnd(a *fleetAgent, act runs.Report) {
 	if act.End.Outcome == jobs.OutcomeNotRun {
 		f.returned++
@@ -136,7 +166,10 @@
 func (f *fleetReplay) pollWorker(a *fleetAgent) {
 	p := runs.PollResult{ClockMS: f.now, SentAt: f.now, Epoch: 1}
 	for id, endsAt := range a.running {
-		if endsAt <= f.now {
+		if a.stopped[id] {
+			p.Ended = append(p.Ended, runs.EndedRun{Ref: id.Ref, Number: id.Number, Outcome: jobs.OutcomeStopped})
+			delete(a.running, id)
+		} else if endsAt <= f.now {
 			p.Ended = append(p.Ended, runs.EndedRun{Ref: id.Ref, Number: id.Number, Outcome: jobs.OutcomeDone})
 			delete(a.running, id)
 		}
@@ -160,12 +193,17 @@
 		switch act := action.(type) {
 		case Answer:
 			a := f.arrivals[act.Job.Spec.ID]
+			f.answers[a.id] = fleetAnswer{verdict: act.Verdict, at: f.now}
 			if act.Verdict == VerdictSucceeded && f.now-a.at <= a.objective() {
 				f.inTime++
 			}
 			if act.Verdict == VerdictRefused {
 				f.refused++
 			}
+		case Stop:
+			if f.callerTimeoutMS > 0 {
+				f.send(func() { f.byName[act.Agent].supervisor.StopTasks(fmt.Sprint(i), act.Job, act.Tasks, f.now) })
+			}
 		case Launch:
 			a := f.byName[act.Agent]
 			var launched []runs.Run
@@ -189,7 +227,7 @@
 		connections[i] = r.IntN(len(f.entries))
 	}
 	next := 0
-	for ; f.now < fleetReplayMS+3000; f.now++ {
+	for ; f.now < f.untilMS+3000; f.now++ {
 		for _, deliver := range f.messages[f.now] {
 			deliver()
 		}
@@ -198,7 +236,10 @@
 			a := &load[next]
 			f.arrivals[a.id] = a
 			sub := submissionOf(a)
-			sub.Spec.Steps[0].Size = jobs.Size{MilliCPU: fleetTaskCPU, MemoryMB: 1}
+			sub.Spec.Steps[0].Size = jobs.Size{MilliCPU: cmp.Or(a.milliCPU, fleetTaskCPU), MemoryMB: 1}
+			if f.callerTimeoutMS > 0 {
+				sub.CallerDeadline = f.now + f.callerTimeoutMS
+			}
 			f.entries[connections[r.IntN(len(connections))]].Submit(sub, f.now)
 		}
 		for i := range f.entries {
--- a/internal/place/replay_test.go
+++ b/internal/place/replay_test.go
@@ -46,6 +46,8 @@
 	// taskWorkMS holds the run time of each task on a worker of speed 1.
 	taskWorkMS []float64
 	estimate   clock.Millis
+	// milliCPU is the size of each task in a fleet replay; zero for fleetTaskCPU.
+	milliCPU int64
 }
 
 // objective returns the response time promised to the caller.
