place: One file for each decision

Cause: place.go and schedule.go held the types, the order of jobs, the choice of a worker, the launches and the predictions together, and look-ahead placement adds to the choice.

Change: code moved without a change: worker.go has the worker, choose.go the choice of a worker, fit.go the choice between about equal ones, launch.go the launches, predict.go the predicted run times. place.go has 417 lines instead of 573, schedule.go 121 instead of 313.

Result: the tests of the package pass.

--- /dev/null
+++ b/internal/place/choose.go
@@ -0,0 +1,90 @@
+package place
+
+import (
+	"math"
+	"slices"
+
+	"github.com/turmericbarrow/turmericbarrow/internal/clock"
+	"github.com/turmericbarrow/turmericbarrow/internal/jobs"
+)
+
+// endTolerance is the fraction of a job's objective by which predicted ends may differ and still
+// count as equal.
+const endTolerance = 0.1
+
+// chooseWorker returns the worker for a task, or nil if no worker accepts it or it should wait.
+// Until its QueueDeadline, a job doesn't use a worker on which the task would end late, since
+// a faster one may become free in time. A job that has not started never uses a worker on
+// which its answer would come too late to be of use.
+func (s *Scheduler) chooseWorker(j *Job, t *Task, now clock.Millis) *Worker {
+	deadline := j.ArrivedAt + j.Objective
+	best := s.pickCandidate(s.findCandidates(j, t, now), j.Spec.Steps[t.ID.Step].Size)
+	if best.worker == nil {
+		return nil
+	}
+	if best.end > float64(deadline) && !j.pastQueueDeadline(now) {
+		return nil
+	}
+	if best.end > float64(j.ArrivedAt+LateFactor*j.Objective) && !j.Started {
+		return nil
+	}
+	return best.worker
+}
+
+// candidate is a worker that accepts a task, and the predicted end of the task on it.
+type candidate struct {
+	worker *Worker
+	end    float64
+}
+
+// findCandidates returns the workers that accept a task and on which it is predicted to end
+// at most endTolerance of its job's objective later than on the best one, and not late if it
+// ends in time on that one. The worker of t.AvoidAgent is considered only if there is no
+// other one for the task. The result is valid until the next call.
+func (s *Scheduler) findCandidates(j *Job, t *Task, now clock.Millis) []candidate {
+	step := j.Spec.Steps[t.ID.Step]
+	s.candidates = s.candidates[:0]
+	earliest := math.Inf(1)
+	for _, w := range s.withFreeCPU {
+		if !w.accepts(j.Queue.Fleet, step.Label, step.Size) {
+			continue
+		}
+		if w.Agent == t.AvoidAgent && s.hasOtherWorker(j, step, w) {
+			continue
+		}
+		end := s.predictedEnd(j, w, now)
+		earliest = min(earliest, end)
+		s.candidates = append(s.candidates, candidate{worker: w, end: end})
+	}
+	latest := earliest + endTolerance*float64(j.Objective)
+	for _, bound := range []clock.Millis{j.ArrivedAt + j.Objective, j.ArrivedAt + LateFactor*j.Objective} {
+		if earliest <= float64(bound) {
+			latest = min(latest, float64(bound))
+		}
+	}
+	return slices.DeleteFunc(s.candidates, func(c candidate) bool { return c.end > latest })
+}
+
+// hasOtherWorker reports whether a task of the given step could run on a worker other than w,
+// now or later.
+func (s *Scheduler) hasOtherWorker(j *Job, step jobs.Step, w *Worker) bool {
+	for _, o := range s.Workers {
+		if o != w && o.usable() && o.fitsWhenIdle(j.Queue.Fleet, step.Label, step.Size) {
+			return true
+		}
+	}
+	return false
+}
+
+// predictedEnd returns when a task of j would end if it were sent to w now.
+func (s *Scheduler) predictedEnd(j *Job, w *Worker, now clock.Millis) float64 {
+	end := float64(now+overheadMS) + float64(j.PredictedWorkMS)/w.Speed
+	if w.Zone != s.Zone {
+		end += float64(crossZoneMS)
+	}
+	if reportAge := now - w.ReportedAt; reportAge > staleReportMS {
+		// The agent may be dead even though the link has not timed out yet.
+		end += float64(reportAge)
+	}
+	return end
+}
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -10,7 +10,6 @@
 package place
 
 import (
-	"math"
 	"math/rand/v2"
 
 	"github.com/turmericbarrow/turmericbarrow/internal/clock"
@@ -19,100 +18,6 @@
 	"github.com/turmericbarrow/turmericbarrow/internal/zone"
 )
 
-// Worker is the state of a worker as known to this entry.
-type Worker struct {
-	// Agent is the incarnation of the worker's agent, and Host is the name of the host
-	// on which both run.
-	Agent string
-	Host  string
-	// Zone is the availability zone of the worker.
-	Zone     string
-	ID       string
-	Fleet    string
-	Labels   []string
-	Capacity jobs.Size
-	// ReportedFree is the free capacity in the agent's last report. It may be negative.
-	ReportedFree jobs.Size
-	// Speed is the ratio of the callers' estimates to the actual run times on this
-	// worker; above zero.
-	Speed float64
-	// Closed is set while the worker accepts no new tasks.
-	Closed bool
-	// Probation is set while the worker may run only one task at a time.
-	Probation bool
-	// Stalled is set while the worker's tasks make no progress.
-	Stalled bool
-	// ZoneDrained is set while the worker's zone is drained.
-	ZoneDrained bool
-	// Ejected is set while the worker gets no tasks after failures. It is ignored if
-	// too many workers of the fleet are ejected.
-	Ejected bool
-	// ReportedAt is when the agent's last report arrived.
-	ReportedAt clock.Millis
-	// DisconnectedAt is when the link to the agent ended; zero while the link is up.
-	DisconnectedAt clock.Millis
-	// LastLaunch is the number of the last launch sent to the agent.
-	LastLaunch uint64
-
-	unacked []unackedTask
-}
-
-// unackedTask is a task of a launch that ReportedFree does not account for yet.
-type unackedTask struct {
-	// launch is the number of the launch.
-	launch uint64
-	size   jobs.Size
-}
-
-// Free returns the capacity that is left after all launches sent so far.
-func (w *Worker) Free() jobs.Size {
-	free := w.ReportedFree
-	for _, u := range w.unacked {
-		free = free.Minus(u.size)
-	}
-	return free
-}
-
-// accepts reports whether w may be sent a task of the given fleet, label and size now.
-func (w *Worker) accepts(fleet, label string, size jobs.Size) bool {
-	if !w.usable() || w.Fleet != fleet {
-		return false
-	}
-	if label != "" && !hasLabel(w.Labels, label) {
-		return false
-	}
-	if w.Probation && (len(w.unacked) > 0 || w.ReportedFree != w.Capacity) {
-		return false
-	}
-	return size.FitsIn(w.Free())
-}
-
-// usable reports whether w accepts new tasks, regardless of its free capacity.
-func (w *Worker) usable() bool {
-	return !w.Closed && !w.ZoneDrained && !w.Ejected && w.DisconnectedAt == 0
-}
-
-// hasFreeCPU reports whether w accepts new tasks and has any processor time free. It
-// does not check memory and accelerators.
-func (w *Worker) hasFreeCPU() bool {
-	return w.usable() && w.Free().MilliCPU > 0
-}
-
-// fitsWhenIdle reports whether w could run a task of the given fleet, label and size if it
-// ran nothing else.
-func (w *Worker) fitsWhenIdle(fleet, label string, size jobs.Size) bool {
-	return w.Fleet == fleet && (label == "" || hasLabel(w.Labels, label)) && size.FitsIn(w.Capacity)
-}
-
-func hasLabel(labels []string, wanted string) bool {
-	for _, label := range labels {
-		if label == wanted {
-			return true
-		}
-	}
-	return false
-}
-
 // TaskState is the progress of a task.
 type TaskState int
 
@@ -355,11 +260,6 @@
 	overheadMS clock.Millis = 4
 	// crossZoneMS is the additional message time for a worker in another zone.
 	crossZoneMS clock.Millis = 3
-	// endTolerance is the fraction of a job's objective by which predicted ends may differ
-	// and still count as equal, and drawnCandidates the number of workers with about equal
-	// ends that are compared.
-	endTolerance    = 0.1
-	drawnCandidates = 4
 	// staleReportMS is the age above which a report is stale. It is longer than the
 	// interval at which a live agent reports.
 	staleReportMS clock.Millis = 400
@@ -370,10 +270,6 @@
 	// the agent has to notice the loss first, and then the worker's lease has to
 	// expire.
 	maxUnknownMS clock.Millis = 1500
-	// minLearningRate is the lowest weight of a new run time in a queue's mean.
-	minLearningRate = 0.04
-	// estimateWeight is the weight of the caller's estimate in a prediction.
-	estimateWeight = 0.5
 	// A job is abandoned once the run number of one of its tasks reaches two to the
 	// power of maxRunDoublings. The number doubles after each run that the worker refused,
 	// which bounds these runs: they are not the fault of the task, and MaxAttempts does
@@ -393,15 +289,6 @@
 	maxWaitFraction = 0.5
 )
 
-// queueStats holds statistics of the tasks of one queue.
-type queueStats struct {
-	// meanLogWork is the running mean of the logarithm of a task's work in milliseconds
-	// on a worker of speed 1.
-	meanLogWork float64
-	// count is the number of tasks that meanLogWork covers.
-	count int
-}
-
 // Scheduler holds the jobs of one entry and its view of the workers.
 type Scheduler struct {
 	// Zone is the availability zone of this entry.
@@ -456,49 +343,6 @@
 	return a
 }
 
-// predict returns the predicted run time on a worker of speed 1. It combines estimate, the
-// sum of the estimates of a job's steps, with the mean run time of the queue's past tasks,
-// since either alone is far off and their combination is closer.
-func (s *Scheduler) predict(queue string, estimate clock.Millis) clock.Millis {
-	qs := s.stats[queue]
-	e := math.Log(float64(max(estimate, 1)))
-	if qs == nil || qs.count == 0 {
-		return max(estimate, 1)
-	}
-	return clock.Millis(math.Exp(estimateWeight*e+(1-estimateWeight)*qs.meanLogWork)) + 1
-}
-
-// recordWork adds the run time of a successful task, in milliseconds on a worker of
-// speed 1, to the statistics of its queue.
-func (s *Scheduler) recordWork(queue string, work float64) {
-	if work < 1 {
-		return
-	}
-	qs := s.stats[queue]
-	if qs == nil {
-		qs = &queueStats{}
-		s.stats[queue] = qs
-	}
-	qs.count++
-	learningRate := max(minLearningRate, 1/float64(qs.count))
-	qs.meanLogWork += learningRate * (math.Log(work) - qs.meanLogWork)
-}
-
-// fastestSpeed returns the highest speed among the usable workers of a fleet that are
-// not on probation, or 1 if there are none.
-func (s *Scheduler) fastestSpeed(fleet string) float64 {
-	best := 0.0
-	for _, w := range s.Workers {
-		if w.Fleet == fleet && w.usable() && !w.Probation {
-			best = max(best, w.Speed)
-		}
-	}
-	if best == 0 {
-		return 1
-	}
-	return best
-}
-
 // fleetView returns the current view of a fleet.
 func (s *Scheduler) fleetView(fleet string, now clock.Millis) FleetView {
 	v := FleetView{JobsToPlace: len(s.jobsToPlace)}
