runs: Predict what ends soon, and hold runs that wait for it

Change: Releases predicts, from the expected run time and the start of each run, what becomes free within 20, 50 and 100 ms. Runs far over their expected time are left out. It is empty unless half of the worker or more is in use.

Result: nothing sets HoldMS yet. Tests of the package pass.

--- /dev/null
+++ b/internal/runs/releases.go
@@ -0,0 +1,69 @@
+package runs
+
+import (
+	"slices"
+
+	"github.com/turmericbarrow/turmericbarrow/internal/clock"
+	"github.com/turmericbarrow/turmericbarrow/internal/jobs"
+)
+
+// Release is capacity that is predicted to become free.
+type Release struct {
+	// InMS is how long from now on the capacity becomes free.
+	InMS clock.Millis
+	Size jobs.Size
+}
+
+const (
+	// nearlyFull is the fraction of the worker's processor capacity up to which the free capacity
+	// is so small that entries are told what will become free.
+	nearlyFull = 0.5
+	// minRemaining is the fraction of its expected run time that a run is predicted to need at
+	// least: one that has passed its expected run time ends soon, but not now.
+	minRemaining = 0.25
+	// A run is not predicted to end after stragglerFactor times its expected run time: the few
+	// that get so far take many times as long as expected.
+	stragglerFactor = 1.75
+)
+
+// releaseTimes are the values of InMS. Runs that are predicted to end between two of them count as
+// released at the later one. Later ends are left out, since no entry reserves so far ahead.
+var releaseTimes = [...]clock.Millis{20, 50, 100}
+
+// Releases returns the capacity that is predicted to become free soon, in order of time. It returns
+// nothing unless the worker accepts runs and is nearly full.
+func (s *Supervisor) Releases(now clock.Millis) []Release {
+	if s.RefusesRuns() || s.stalled || float64(s.Free().MilliCPU) > nearlyFull*float64(s.Worker.Capacity.MilliCPU) {
+		return nil
+	}
+	var sizes [len(releaseTimes)]jobs.Size
+	for _, run := range s.runs {
+		remaining, known := s.remainingMS(run, now)
+		if !known {
+			continue
+		}
+		if i, _ := slices.BinarySearch(releaseTimes[:], remaining); i < len(sizes) {
+			sizes[i] = sizes[i].Plus(run.Size)
+		}
+	}
+	var releases []Release
+	for i, size := range sizes {
+		if size != (jobs.Size{}) {
+			releases = append(releases, Release{InMS: releaseTimes[i], Size: size})
+		}
+	}
+	return releases
+}
+
+// remainingMS predicts how much longer a run takes. It returns false if that is not known.
+func (s *Supervisor) remainingMS(run *Run, now clock.Millis) (clock.Millis, bool) {
+	if run.Status == Queued || run.Claimed || run.ExpectedMS < 1 {
+		return 0, false
+	}
+	expected := float64(run.ExpectedMS) / s.Speed
+	elapsed := float64(now - run.StartedAt)
+	if elapsed > stragglerFactor*expected {
+		return 0, false
+	}
+	return clock.Millis(max(expected-elapsed, minRemaining*expected)), true
+}
--- a/internal/runs/run.go
+++ b/internal/runs/run.go
@@ -81,7 +81,9 @@
 	StopSentAt  clock.Millis
 	StopAckedAt clock.Millis
 	QueuedAt    clock.Millis
-	StartedAt   clock.Millis
+	// HoldMS is how much longer than others the run may be queued; see maxQueueMS.
+	HoldMS    clock.Millis
+	StartedAt clock.Millis
 	// LeaseUntil is the latest expiry of the leases of the starts, on the worker's clock.
 	LeaseUntil clock.Millis
 	// UnansweredStarts counts the unanswered starts of this run.
--- a/internal/runs/supervisor.go
+++ b/internal/runs/supervisor.go
@@ -390,7 +390,7 @@
 		}
 	}
 	for _, run := range s.sortedRuns() {
-		if run.Status == Queued && now-run.QueuedAt > maxQueuedMS && !s.earlierRunAtWorker(run) {
+		if run.Status == Queued && now-run.QueuedAt > run.maxQueueMS() && !s.earlierRunAtWorker(run) {
 			s.end(run, jobs.OutcomeNotRun, 0, false, now)
 		}
 		if run.Stopping && run.Status > Starting && now-run.StopSentAt >= stopRetryMS {
