--- a/internal/place/ahead_test.go
+++ b/internal/place/ahead_test.go
@@ -255,6 +255,7 @@
 			b.Run(fmt.Sprintf("%d jobs, look-ahead %t", n, lookAhead), func(b *testing.B) {
 				b.ReportAllocs()
 				for b.Loop() {
+					s.reservations.plannedAt = 0 // plan in each tick
 					s.Tick(10)
 				}
 			})
