sched, runner, wire: Carry predictions and holds, and switch look-ahead

Cause: the decisions of place and runs were not connected.

Change: Room carries what is predicted to become free, Launch how long the agent holds tasks that do not fit yet. Metrics: turmericbarrow_reservations_total and _failed_total at entries, turmericbarrow_runs_reserved at agents; the line "tasks placed" has hold_ms. The replay logs how many reservations fail.

Tests of place, runs, sched, runner and link pass. platform.TestEveryMetricIsDocumented fails as before this change, on turmericbarrow_zones_drained.

--- a/internal/place/ahead_test.go
+++ b/internal/place/ahead_test.go
@@ -137,8 +137,9 @@
 
 // aheadResult counts the jobs of some replays of a load.
 type aheadResult struct {
-	groups   [5]share
-	returned int
+	groups       [5]share
+	returned     int
+	reservations ReservationCounts
 }
 
 func (res *aheadResult) count(load []arrival, f *fleetReplay) {
@@ -150,6 +151,11 @@
 		}
 	}
 	res.returned += f.returned
+	for _, s := range f.entries {
+		counts := s.ReservationCounts()
+		res.reservations.Made += counts.Made
+		res.reservations.Failed += counts.Failed
+	}
 }
 
 // playAhead replays a load with the seeds of the flag.
@@ -173,7 +179,7 @@
 	for i, group := range aheadGroups {
 		line += fmt.Sprintf(" | %s %s", group, &res.groups[i])
 	}
-	t.Logf("%s%s | returned %.2f", name, line, float64(res.returned)/float64(res.groups[0].jobs))
+	t.Logf("%s%s | returned %.2f | reservations %+v", name, line, float64(res.returned)/float64(res.groups[0].jobs), res.reservations)
 }
 
 // Guards against small tasks that keep taking the gaps which large ones wait for, and against
--- a/internal/runner/frames.go
+++ b/internal/runner/frames.go
@@ -26,6 +26,7 @@
 		m.Resting = ejected
 		m.Trial = onProbation // set during an ejection as well
 		m.Stalled = a.supervisor.Stalled()
+		m.Releases = encodeReleases(a.supervisor.Releases(now))
 	}
 	return &wire.Frame{Body: &wire.Frame_Room{Room: m}}
 }
@@ -47,6 +48,7 @@
 			Size:        link.DecodeSize(m.GetSize()),
 			ExpectedMS:  clock.Millis(m.GetExpectedMs()),
 			LatestStart: latestStart,
+			HoldMS:      clock.Millis(m.GetHoldMs()),
 		})
 	}
 	return out
--- a/internal/runner/metrics.go
+++ b/internal/runner/metrics.go
@@ -49,13 +49,15 @@
 // Gauges are an agent's current values. Held is the number of runs that the agent holds,
 // Entries the number of linked entries.
 type Gauges struct {
-	Held         int
-	FreeMilliCPU int64
-	Speed        float64
-	OnProbation  bool
-	Unreachable  bool
-	ZoneDrained  bool
-	Entries      int
+	Held int
+	// HeldForCapacity counts the held runs that wait for capacity that is reserved for them.
+	HeldForCapacity int
+	FreeMilliCPU    int64
+	Speed           float64
+	OnProbation     bool
+	Unreachable     bool
+	ZoneDrained     bool
+	Entries         int
 }
 
 // WriteMetrics writes the agent's metrics in the Prometheus text format.
@@ -71,6 +73,7 @@
 	gauges := metrics.NewSet()
 	for name, v := range map[string]float64{
 		"turmericbarrow_runs_held":          float64(g.Held),
+		"turmericbarrow_runs_reserved":      float64(g.HeldForCapacity),
 		"turmericbarrow_free_milli_cpu":     float64(g.FreeMilliCPU),
 		"turmericbarrow_worker_speed":       g.Speed,
 		"turmericbarrow_worker_on_trial":    boolValue(g.OnProbation),
@@ -93,6 +96,6 @@
 
 func (a *Agent) gauges() Gauges {
 	onProbation, _ := a.supervisor.Probation(a.clock.Now())
-	return Gauges{Held: a.supervisor.Held(), FreeMilliCPU: a.supervisor.Free().MilliCPU, Speed: a.supervisor.Speed,
+	return Gauges{Held: a.supervisor.Held(), HeldForCapacity: a.supervisor.HeldForCapacity(), FreeMilliCPU: a.supervisor.Free().MilliCPU, Speed: a.supervisor.Speed,
 		OnProbation: onProbation, Unreachable: a.supervisor.Unreachable, ZoneDrained: a.supervisor.ZoneDrained, Entries: len(a.links)}
 }
--- a/internal/sched/links.go
+++ b/internal/sched/links.go
@@ -307,6 +307,7 @@
 		Probation:    m.GetTrial(),
 		Stalled:      m.GetStalled(),
 		Ejected:      m.GetResting(),
+		Releases:     decodeReleases(m.GetReleases(), e.clock.Now()),
 	}
 	if reported := m.GetWorker(); reported != nil {
 		w.ID, w.Fleet, w.Labels, w.Capacity = reported.GetId(), reported.GetFleet(), reported.GetLabels(), link.DecodeSize(reported.GetCapacity())
@@ -344,6 +345,7 @@
 		Rank:       a.LatestStart,
 		SlackMs:    proto.Int64(a.LatestStart - int64(now)),
 		Queue:      a.Queue,
+		HoldMs:     int64(a.HoldMS),
 	}
 	for _, t := range a.Tasks {
 		m.Tasks = append(m.Tasks, &wire.RunTask{Step: int32(t.ID.Step), Index: int32(t.ID.Index), Run: t.Run})
--- a/internal/sched/logs.go
+++ b/internal/sched/logs.go
@@ -33,6 +33,8 @@
 	ReportAgeMS  int64    `json:"report_age_ms"`
 	// Claim is set if the launch takes over a run that an earlier agent process started.
 	Claim bool `json:"claim,omitempty"`
+	// HoldMS is how long the agent holds the tasks until capacity that is reserved for them is free.
+	HoldMS int64 `json:"hold_ms,omitempty"`
 }
 
 // launchesByJob returns the launches among actions.
@@ -80,7 +82,7 @@
 
 // describeLaunch returns a launch for the log, with up to maxRuns of its runs.
 func (e *Entry) describeLaunch(l place.Launch, maxRuns int) loggedLaunch {
-	line := loggedLaunch{Tasks: len(l.Tasks), Claim: l.Claim}
+	line := loggedLaunch{Tasks: len(l.Tasks), Claim: l.Claim, HoldMS: int64(l.HoldMS)}
 	if w := e.scheduler.Workers[l.Agent]; w != nil {
 		line.Worker, line.Host, line.Speed = w.ID, w.Host, w.Speed
 		line.FreeMilliCPU, line.ReportAgeMS = w.Free().MilliCPU, e.reportAge(l.Agent)
--- a/internal/sched/messages.go
+++ b/internal/sched/messages.go
@@ -171,6 +171,7 @@
 	// workers in them.
 	DrainedZones   int
 	DrainedWorkers int
+	Reservations   place.ReservationCounts
 	// EntryLinks and AgentLinks count the links to other entries and to agents.
 	EntryLinks int
 	AgentLinks int
@@ -182,6 +183,7 @@
 	g := Gauges{HeldJobs: len(e.scheduler.Jobs), KnownWorkers: len(e.scheduler.Workers), EntryLinks: len(e.linkedEntries), AgentLinks: len(e.agents)}
 	g.JobsToPlace, g.WorkersWithFreeCPU = e.scheduler.Counts()
 	g.DrainedZones, g.DrainedWorkers = len(e.drains.Zones), e.scheduler.WorkersInDrainedZones()
+	g.Reservations = e.scheduler.ReservationCounts()
 	if e.terms != nil {
 		g.TermsVersion = e.terms.Version
 	}
--- a/internal/sched/metrics.go
+++ b/internal/sched/metrics.go
@@ -67,6 +67,9 @@
 		"turmericbarrow_workers_drained": int64(g.DrainedWorkers),
 		"turmericbarrow_links_entries":   int64(g.EntryLinks),
 		"turmericbarrow_links_agents":    int64(g.AgentLinks),
+
+		"turmericbarrow_reservations_total":        int64(g.Reservations.Made),
+		"turmericbarrow_reservations_failed_total": int64(g.Reservations.Failed),
 	} {
 		gauges.NewGauge(name, func() float64 { return float64(v) })
 	}
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -72,6 +72,8 @@
 	// DrainMS bounds the whole graceful shutdown from Drain on, apart from linkCloseTimeout.
 	// It should be longer than ShutdownDelayMS, which is never cut short.
 	DrainMS clock.Millis
+	// LookAhead is set if placement looks ahead; see docs/design/look-ahead.md.
+	LookAhead bool
 }
 
 // Intervals and limits of an entry.
@@ -266,6 +268,7 @@
 		storeReachable: true,
 		metrics:        newMetrics(),
 	}
+	e.scheduler.LookAhead = s.LookAhead
 	e.scheduler.Seed(xxhash.Sum64String(s.Self.Incarnation))
 	e.node = link.New(link.Settings{Self: s.Self, Listen: s.LinkAddress, TLS: s.TLS, IdleTimeout: entryLinkTimeoutMS}, log)
 	return e
