place: Fill the last gap of a worker last

Cause: all entries packed small tasks into the same nearly full workers, and agents returned twice as many runs as without look-ahead.

Change: the last gap of a worker is not preferred.

--- a/internal/place/fit.go
+++ b/internal/place/fit.go
@@ -39,7 +39,8 @@
 // tieBreakFor returns the tie break for a task of the given size. Workers are filled evenly, since
 // the emptier of two is less likely to be full by the time at which the task arrives. But while
 // much larger tasks arrive as well, small ones go to the fuller worker, so that a larger one finds
-// a gap on an emptier one.
+// a gap on an emptier one. Even then the last gap of a worker is filled last, since other entries
+// choose it as well.
 func (s *Scheduler) tieBreakFor(fleet string, size jobs.Size, now clock.Millis) tieBreak {
 	largest := s.largest[fleet]
 	pack := s.LookAhead && now-largest.at <= largestMemoryMS && largest.milliCPU >= packingRatio*size.MilliCPU
@@ -47,11 +48,16 @@
 		if w.Capacity.MilliCPU < 1 {
 			return 1
 		}
-		left := float64(w.Free().MilliCPU-size.MilliCPU) / float64(w.Capacity.MilliCPU)
-		if pack {
+		leftCPU := w.Free().MilliCPU - size.MilliCPU
+		left := float64(leftCPU) / float64(w.Capacity.MilliCPU)
+		switch {
+		case !pack:
+			return 1 - left
+		case leftCPU < size.MilliCPU:
+			return 1 + left
+		default:
 			return left
 		}
-		return 1 - left
 	}
 }
 
