--- a/internal/runner/metrics.go
+++ b/internal/runner/metrics.go
@@ -46,18 +46,17 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf("turmericbarrow_runs_lost_total{cause=%q}", string(cause))).Inc()
 }
 
-// Gauges are an agent's current values. Held is the number of runs that the agent holds,
-// Entries the number of linked entries.
+// Gauges are an agent's current values. Held is the number of runs that the agent holds, Reserved
+// the number of those that wait for reserved capacity, Entries the number of linked entries.
 type Gauges struct {
-	Held int
-	// HeldForCapacity counts the held runs that wait for capacity that is reserved for them.
-	HeldForCapacity int
-	FreeMilliCPU    int64
-	Speed           float64
-	OnProbation     bool
-	Unreachable     bool
-	ZoneDrained     bool
-	Entries         int
+	Held         int
+	Reserved     int
+	FreeMilliCPU int64
+	Speed        float64
+	OnProbation  bool
+	Unreachable  bool
+	ZoneDrained  bool
+	Entries      int
 }
 
 // WriteMetrics writes the agent's metrics in the Prometheus text format.
@@ -73,7 +72,7 @@
 	gauges := metrics.NewSet()
 	for name, v := range map[string]float64{
 		"turmericbarrow_runs_held":          float64(g.Held),
-		"turmericbarrow_runs_reserved":      float64(g.HeldForCapacity),
+		"turmericbarrow_runs_reserved":      float64(g.Reserved),
 		"turmericbarrow_free_milli_cpu":     float64(g.FreeMilliCPU),
 		"turmericbarrow_worker_speed":       g.Speed,
 		"turmericbarrow_worker_on_trial":    boolValue(g.OnProbation),
@@ -96,6 +95,6 @@
 
 func (a *Agent) gauges() Gauges {
 	onProbation, _ := a.supervisor.Probation(a.clock.Now())
-	return Gauges{Held: a.supervisor.Held(), HeldForCapacity: a.supervisor.HeldForCapacity(), FreeMilliCPU: a.supervisor.Free().MilliCPU, Speed: a.supervisor.Speed,
+	return Gauges{Held: a.supervisor.Held(), Reserved: a.supervisor.HeldForCapacity(), FreeMilliCPU: a.supervisor.Free().MilliCPU, Speed: a.supervisor.Speed,
 		OnProbation: onProbation, Unreachable: a.supervisor.Unreachable, ZoneDrained: a.supervisor.ZoneDrained, Entries: len(a.links)}
 }
