--- a/internal/place/fleet_test.go
+++ b/internal/place/fleet_test.go
@@ -1,6 +1,7 @@
 package place
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"sort"
@@ -41,6 +42,7 @@
 	reportedAt clock.Millis
 	running    map[runs.RunID]clock.Millis
 	book       *offer.Book
+	stopped    map[runs.RunID]bool
 }
 
 // fleetReplay is one run of a load.
@@ -61,12 +63,23 @@
 	until clock.Millis
 	// offers holds the state of capacity offers; nil while there are none.
 	offers *fleetOffers
+	// callerTimeoutMS is how long callers wait; zero if they wait indefinitely, in which case runs
+	// of abandoned jobs continue.
+	callerTimeoutMS clock.Millis
+	// answers holds when each job was answered, and with which verdict.
+	answers map[jobs.ID]fleetAnswer
+}
+
+type fleetAnswer struct {
+	verdict Verdict
+	at      clock.Millis
 }
 
 // newFleetReplay links each agent to random entries.
 func newFleetReplay(entries, agents int, seed uint64) *fleetReplay {
 	r := rand.New(rand.NewPCG(seed, 7))
-	f := &fleetReplay{byName: map[string]*fleetAgent{}, messages: map[clock.Millis][]func(){}, arrivals: map[jobs.ID]*arrival{}}
+	f := &fleetReplay{byName: map[string]*fleetAgent{}, messages: map[clock.Millis][]func(){}, arrivals: map[jobs.ID]*arrival{},
+		until: fleetReplayMS, answers: map[jobs.ID]fleetAnswer{}}
 	for i := range entries {
 		s := New("z")
 		s.Seed(uint64(i))
@@ -74,7 +87,7 @@
 		f.entries = append(f.entries, s)
 	}
 	for i := range agents {
-		a := &fleetAgent{name: fmt.Sprint("agent-", i), supervisor: runs.New(1209), speed: 1.2, lastLaunch: map[int]uint64{}, running: map[runs.RunID]clock.Millis{}, book: offer.NewBook()}
+		a := &fleetAgent{name: fmt.Sprint("agent-", i), supervisor: runs.New(1209), speed: 1.2, lastLaunch: map[int]uint64{}, running: map[runs.RunID]clock.Millis{}, book: offer.NewBook(), stopped: map[runs.RunID]bool{}}
 		if i%4 == 0 {
 			a.speed = 0.55
 		}
@@ -97,9 +110,13 @@
 
 func (f *fleetReplay) reportTo(a *fleetAgent, entry int) {
 	free, acked := a.supervisor.Free(), a.lastLaunch[entry]
+	var releases []Release
+	for _, r := range a.supervisor.Releases(f.now) {
+		releases = append(releases, Release{At: f.now + messageMS + r.InMS, Size: r.Size})
+	}
 	f.send(func() {
 		f.entries[entry].UpdateWorker(Report{AckedLaunch: acked, Worker: Worker{Agent: a.name, Zone: "z", ID: a.name, Fleet: fleet,
-			Capacity: a.supervisor.Worker.Capacity, ReportedFree: free, Speed: a.supervisor.Speed}}, f.now)
+			Capacity: a.supervisor.Worker.Capacity, ReportedFree: free, Speed: a.supervisor.Speed, Releases: releases}}, f.now)
 	})
 }
 
@@ -129,6 +146,8 @@
 			a.supervisor.HandleStartOutcome(act.Run.Ref, act.Run.Entry, act.Run.Number, runs.StartOK, f.now)
 		case runs.Report:
 			f.reportEnd(a, act)
+		case runs.Stop:
+			a.stopped[runs.RunID{Ref: act.Run.Ref, Number: act.Run.Number}] = true
 		}
 	}
 	if a.supervisor.NotifyNow || a.supervisor.Changed && f.now-a.reportedAt >= reportMS {
@@ -155,7 +174,10 @@
 func (f *fleetReplay) pollWorker(a *fleetAgent) {
 	p := runs.PollResult{ClockMS: f.now, SentAt: f.now, Epoch: 1}
 	for id, endsAt := range a.running {
-		if endsAt <= f.now {
+		if a.stopped[id] {
+			p.Ended = append(p.Ended, runs.EndedRun{Ref: id.Ref, Number: id.Number, Outcome: jobs.OutcomeStopped})
+			delete(a.running, id)
+		} else if endsAt <= f.now {
 			p.Ended = append(p.Ended, runs.EndedRun{Ref: id.Ref, Number: id.Number, Outcome: jobs.OutcomeDone})
 			delete(a.running, id)
 		}
@@ -180,6 +202,7 @@
 		switch act := action.(type) {
 		case Answer:
 			a := f.arrivals[act.Job.Spec.ID]
+			f.answers[a.id] = fleetAnswer{verdict: act.Verdict, at: f.now}
 			switch took := f.now - a.at; {
 			case act.Verdict == VerdictSucceeded && took <= a.objective():
 				f.inTime++
@@ -189,12 +212,16 @@
 			if act.Verdict == VerdictRefused {
 				f.refused++
 			}
+		case Stop:
+			if f.callerTimeoutMS > 0 {
+				f.send(func() { f.byName[act.Agent].supervisor.StopTasks(fmt.Sprint(i), act.Job, act.Tasks, f.now) })
+			}
 		case Launch:
 			a := f.byName[act.Agent]
 			var launched []runs.Run
 			for _, t := range act.Tasks {
 				launched = append(launched, runs.Run{Ref: jobs.TaskRef{Job: act.Job, Task: t.ID}, Number: t.Run, Entry: fmt.Sprint(i),
-					Queue: act.Queue, Size: act.Size, ExpectedMS: act.ExpectedMS, LatestStart: act.LatestStart})
+					Queue: act.Queue, Size: act.Size, ExpectedMS: act.ExpectedMS, LatestStart: act.LatestStart, HoldMS: act.HoldMS})
 			}
 			f.send(func() {
 				a.lastLaunch[i] = act.Number
@@ -222,7 +249,10 @@
 			a := &load[next]
 			f.arrivals[a.id] = a
 			sub := submissionOf(a)
-			sub.Spec.Steps[0].Size = jobs.Size{MilliCPU: fleetTaskCPU, MemoryMB: 1}
+			sub.Spec.Steps[0].Size = jobs.Size{MilliCPU: cmp.Or(a.milliCPU, fleetTaskCPU), MemoryMB: 1}
+			if f.callerTimeoutMS > 0 {
+				sub.CallerDeadline = f.now + f.callerTimeoutMS
+			}
 			f.entries[connections[r.IntN(len(connections))]].Submit(sub, f.now)
 		}
 		for i := range f.entries {
--- a/internal/place/schedule.go
+++ b/internal/place/schedule.go
@@ -1,12 +1,9 @@
 package place
 
 import (
-	"math"
-	"slices"
 	"sort"
 
 	"github.com/turmericbarrow/turmericbarrow/internal/clock"
-	"github.com/turmericbarrow/turmericbarrow/internal/jobs"
 )
 
 // schedule places the tasks that can be placed now, and refuses jobs that have not started
@@ -26,10 +23,11 @@
 		for group := groupStarted; group <= groupPastQueueDeadline; group++ {
 			for _, j := range jobsToPlace {
 				if !j.Answered && j.group(now) == group {
-					s.placeJob(j, now)
+					s.placeJob(j, s.chooseWorker, now)
 				}
 			}
 		}
+		s.reserveCapacity(now)
 	}
 	s.rejectExpired(now)
 }
@@ -76,195 +74,6 @@
 	return now > j.QueueDeadline
 }
 
-// placeJob sends the job's waiting tasks to workers until no worker suits the next one.
-func (s *Scheduler) placeJob(j *Job, now clock.Millis) {
-	launches := map[launchKey]*Launch{}
-	var order []launchKey
-	for _, t := range j.Tasks {
-		if t.State != TaskWaiting || !j.stepReady(t.ID.Step) {
-			continue
-		}
-		w := s.chooseWorker(j, t, now)
-		if w == nil {
-			break
-		}
-		k := launchKey{w.Agent, t.ID.Step}
-		if launches[k] == nil {
-			launches[k] = s.newLaunch(j, k, w)
-			order = append(order, k)
-		}
-		s.assign(j, t, w, launches[k], now)
-	}
-	for _, k := range order {
-		s.actions = append(s.actions, *launches[k])
-	}
-	if !j.hasWaitingTask() {
-		s.dequeue(j)
-	}
-}
-
-// launchKey groups tasks that are sent in the same launch.
-type launchKey struct {
-	agent string
-	step  int
-}
-
-// newLaunch returns the next launch of j to w, without tasks.
-func (s *Scheduler) newLaunch(j *Job, k launchKey, w *Worker) *Launch {
-	w.LastLaunch++
-	return &Launch{
-		Agent:       k.agent,
-		Number:      w.LastLaunch,
-		Job:         j.Spec.ID,
-		Queue:       j.Queue.Name,
-		Payload:     j.Spec.Payload,
-		Size:        j.Spec.Steps[k.step].Size,
-		ExpectedMS:  j.PredictedWorkMS,
-		LatestStart: int64(j.LatestStart),
-	}
-}
-
-// assign gives t its next run number, marks it as sent to w and adds it to l.
-func (s *Scheduler) assign(j *Job, t *Task, w *Worker, l *Launch, now clock.Millis) {
-	t.State = TaskSent
-	t.Run++
-	t.Agent = w.Agent
-	t.SentAt = now
-	t.Stopping = false
-	t.PredictedRunMS = clock.Millis(float64(j.PredictedWorkMS)/w.Speed) + overheadMS
-	if !j.Started {
-		j.Started, j.FirstSentAt = true, now
-	}
-	j.LastSentAt = now
-	l.Tasks = append(l.Tasks, LaunchTask{ID: t.ID, Run: t.Run})
-	w.unacked = append(w.unacked, unackedTask{launch: l.Number, size: l.Size})
-}
-
-// stepReady reports whether all steps that the given step depends on are complete.
-func (j *Job) stepReady(step int) bool {
-	for _, before := range j.Spec.Steps[step].After {
-		for _, t := range j.Tasks {
-			if t.ID.Step == before && t.State != TaskDone {
-				return false
-			}
-		}
-	}
-	return true
-}
-
-func (j *Job) hasWaitingTask() bool {
-	for _, t := range j.Tasks {
-		if t.State == TaskWaiting {
-			return true
-		}
-	}
-	return false
-}
-
-// chooseWorker returns the worker for a task, or nil if no worker accepts it or it should wait.
-// Until its QueueDeadline, a job doesn't use a worker on which the task would end late, since
-// a faster one may become free in time. A job that has not started never uses a worker on
-// which its answer would come too late to be of use.
-func (s *Scheduler) chooseWorker(j *Job, t *Task, now clock.Millis) *Worker {
-	deadline := j.ArrivedAt + j.Objective
-	best := s.pickCandidate(s.findCandidates(j, t, now), j.Spec.Steps[t.ID.Step].Size)
-	if best.worker == nil {
-		return nil
-	}
-	if best.end > float64(deadline) && !j.pastQueueDeadline(now) {
-		return nil
-	}
-	if best.end > float64(j.ArrivedAt+LateFactor*j.Objective) && !j.Started {
-		return nil
-	}
-	return best.worker
-}
-
-// candidate is a worker that accepts a task, and the predicted end of the task on it.
-type candidate struct {
-	worker *Worker
-	end    float64
-}
-
-// findCandidates returns the workers that accept a task and on which it is predicted to end
-// at most endTolerance of its job's objective later than on the best one, and not late if it
-// ends in time on that one. The worker of t.AvoidAgent is considered only if there is no
-// other one for the task. The result is valid until the next call.
-func (s *Scheduler) findCandidates(j *Job, t *Task, now clock.Millis) []candidate {
-	step := j.Spec.Steps[t.ID.Step]
-	s.candidates = s.candidates[:0]
-	earliest := math.Inf(1)
-	for _, w := range s.withFreeCPU {
-		if !w.accepts(j.Queue.Fleet, step.Label, step.Size) {
-			continue
-		}
-		if w.Agent == t.AvoidAgent && s.hasOtherWorker(j, step, w) {
-			continue
-		}
-		end := s.predictedEnd(j, w, now)
-		earliest = min(earliest, end)
-		s.candidates = append(s.candidates, candidate{worker: w, end: end})
-	}
-	latest := earliest + endTolerance*float64(j.Objective)
-	for _, bound := range []clock.Millis{j.ArrivedAt + j.Objective, j.ArrivedAt + LateFactor*j.Objective} {
-		if earliest <= float64(bound) {
-			latest = min(latest, float64(bound))
-		}
-	}
-	return slices.DeleteFunc(s.candidates, func(c candidate) bool { return c.end > latest })
-}
-
-// hasOtherWorker reports whether a task of the given step could run on a worker other than w,
-// now or later.
-func (s *Scheduler) hasOtherWorker(j *Job, step jobs.Step, w *Worker) bool {
-	for _, o := range s.Workers {
-		if o != w && o.usable() && o.fitsWhenIdle(j.Queue.Fleet, step.Label, step.Size) {
-			return true
-		}
-	}
-	return false
-}
-
-// pickCandidate returns the emptiest of a few candidates that it draws at random, or none if
-// there are none. Entries decide at the same time from reports that are out of date: if all
-// chose the worker that was best in these, it would get the tasks of all of them.
-func (s *Scheduler) pickCandidate(candidates []candidate, size jobs.Size) candidate {
-	if len(candidates) == 0 {
-		return candidate{}
-	}
-	best := candidates[s.random.IntN(len(candidates))]
-	for range drawnCandidates - 1 {
-		other := candidates[s.random.IntN(len(candidates))]
-		if s.tieBreak(other.worker, size) < s.tieBreak(best.worker, size) {
-			best = other
-		}
-	}
-	return best
-}
-
-// predictedEnd returns when a task of j would end if it were sent to w now.
-func (s *Scheduler) predictedEnd(j *Job, w *Worker, now clock.Millis) float64 {
-	end := float64(now+overheadMS) + float64(j.PredictedWorkMS)/w.Speed
-	if w.Zone != s.Zone {
-		end += float64(crossZoneMS)
-	}
-	if reportAge := now - w.ReportedAt; reportAge > staleReportMS {
-		// The agent may be dead even though the link has not timed out yet.
-		end += float64(reportAge)
-	}
-	return end
-}
-
-// tieBreak returns the fraction of w's processor capacity in use with the task added;
-// the lower one wins. The emptier of two workers is less likely to be full by the time at
-// which the task arrives.
-func (s *Scheduler) tieBreak(w *Worker, size jobs.Size) float64 {
-	if w.Capacity.MilliCPU < 1 {
-		return 1
-	}
-	return 1 - float64(w.Free().MilliCPU-size.MilliCPU)/float64(w.Capacity.MilliCPU)
-}
-
 // rejectExpired refuses the jobs that have not started by their QueueDeadline, and finishes
 // the jobs to place whose caller deadline has passed.
 func (s *Scheduler) rejectExpired(now clock.Millis) {
--- a/internal/runs/starts.go
+++ b/internal/runs/starts.go
@@ -16,6 +16,7 @@
 		if s.claim(run, now) {
 			continue
 		}
+		s.recordSize(run.Size, now)
 		run.Status = Queued
 		run.QueuedAt = now
 		k := runKey{run.Ref, run.Entry}
--- a/internal/runs/supervisor.go
+++ b/internal/runs/supervisor.go
@@ -78,6 +78,8 @@
 	grantedUntil clock.Millis
 	// superseded holds when another entry requested a task of a job from an entry's runs.
 	superseded map[supersession]clock.Millis
+	// largeUntil is when the last large task that was requested is forgotten.
+	largeUntil clock.Millis
 	// startSentAt is when the last start was sent.
 	startSentAt clock.Millis
 	// lastPollAt is when the last poll was answered.
@@ -390,7 +392,7 @@
 		}
 	}
 	for _, run := range s.sortedRuns() {
-		if run.Status == Queued && now-run.QueuedAt > maxQueuedMS && !s.earlierRunAtWorker(run) {
+		if run.Status == Queued && now-run.QueuedAt > run.maxQueueMS() && !s.earlierRunAtWorker(run) {
 			s.end(run, jobs.OutcomeNotRun, 0, false, now)
 		}
 		if run.Stopping && run.Status > Starting && now-run.StopSentAt >= stopRetryMS {
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -75,6 +75,8 @@
 	DrainMS clock.Millis
 	// CapacityOffers is set if agents are told of waiting jobs, so that they offer free capacity.
 	CapacityOffers bool
+	// LookAhead is set if placement looks ahead; see docs/design/look-ahead.md.
+	LookAhead bool
 }
 
 // Intervals and limits of an entry.
@@ -295,6 +297,7 @@
 	}
 	e.startedAt = c.Now()
 	e.scheduler.AwaitWorkersUntil = e.startedAt + workersExpectedMS
+	e.scheduler.LookAhead = s.LookAhead
 	e.scheduler.Seed(xxhash.Sum64String(s.Self.Incarnation))
 	e.node = link.New(link.Settings{Self: s.Self, Listen: s.LinkAddress, TLS: s.TLS, IdleTimeout: entryLinkTimeoutMS}, log)
 	return e
