admit: Decide which clients to admit and to shed

Cause: nothing bounds how many connections and unfinished requests of untrusted clients a process holds.

Change: a core without I/O with a budget of bytes for connections and unanswered requests, bounds on connections in all and for each address, and a reserve of connections for each listener. When the budget runs short it sheds the largest and slowest unfinished requests first, then idle connections; requests that have arrived whole are never shed.

Result: its tests replay the crowd of platform/crowd_test.go and 1,100 jobs of 6 KB through one address on the smallest entry, which reach no limit.

--- /dev/null
+++ b/internal/admit/admit_test.go
@@ -0,0 +1,160 @@
+package admit_test
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/turmericbarrow/turmericbarrow/internal/admit"
+	"github.com/turmericbarrow/turmericbarrow/internal/clock"
+)
+
+const callers = "callers"
+
+func address(n int) netip.Addr {
+	return netip.MustParseAddr(fmt.Sprintf("10.0.%d.%d", n/250, n%250))
+}
+
+// Guards against a shortage of memory under the crowd of platform/crowd_test.go: the budget
+// holds at each step, and small requests that arrive meanwhile are admitted.
+func TestCrowdStaysWithinBudgetAndSmallRequestsAreAdmitted(t *testing.T) {
+	s := admit.Defaults(96, 800)
+	c := admit.New(s)
+	now := clock.Millis(0)
+	for i := range 1000 {
+		now += 5
+		n, shed := c.Open(callers, address(1), now)
+		require.NotNil(t, n)
+		closeAll(c, shed)
+		for range 100 {
+			granted, shed := c.Acquire(n, admit.BodyCost(20_000), now)
+			closeAll(c, shed)
+			if granted == 0 {
+				break
+			}
+		}
+		requireWithinBudget(t, c)
+		if i%10 == 0 {
+			requireOrdinaryRequestAdmitted(t, c, now)
+		}
+	}
+	require.Positive(t, c.Refused[admit.Memory])
+}
+
+func closeAll(c *admit.Control, shed []*admit.Conn) {
+	for _, n := range shed {
+		c.Close(n)
+	}
+}
+
+func requireWithinBudget(t *testing.T, c *admit.Control) {
+	t.Helper()
+	require.LessOrEqual(t, c.Bytes+c.Closing, c.Settings.Bytes*9/8)
+	require.LessOrEqual(t, c.Count(), c.Settings.Connections)
+}
+
+func requireOrdinaryRequestAdmitted(t *testing.T, c *admit.Control, now clock.Millis) {
+	t.Helper()
+	n, shed := c.Open(callers, address(2), now)
+	require.NotNil(t, n)
+	closeAll(c, shed)
+	granted, shed := c.Acquire(n, admit.HeaderCost(200, 5)+admit.BodyCost(6000), now)
+	require.Positive(t, granted)
+	closeAll(c, shed)
+	require.True(t, c.Complete(n))
+	requireWithinBudget(t, c)
+	c.Finish(n, now)
+	c.Close(n)
+}
+
+// Guards against shedding a quick request instead of those that have stalled.
+func TestLargestAndSlowestAreShedFirst(t *testing.T) {
+	c := admit.New(admit.Settings{Bytes: 1 << 20, Connections: 100, ConnectionsPerAddress: 100})
+	var conns []*admit.Conn
+	for i, cost := range []int64{400 << 10, 100 << 10, 300 << 10} {
+		n, _ := c.Open(callers, address(i), 0)
+		granted, _ := c.Acquire(n, cost, clock.Millis(i))
+		require.Positive(t, granted)
+		conns = append(conns, n)
+	}
+	n, _ := c.Open(callers, address(9), 1000)
+	granted, shed := c.Acquire(n, 300<<10, 1000)
+	require.Positive(t, granted)
+	require.Equal(t, conns[:1], shed)
+}
+
+// Guards against breaking off a request whose work may have begun.
+func TestCompleteRequestsAreNeverShed(t *testing.T) {
+	c := admit.New(admit.Settings{Bytes: 1 << 20, Connections: 2, ConnectionsPerAddress: 2})
+	first, _ := c.Open(callers, address(1), 0)
+	_, shed := c.Acquire(first, 900<<10, 0)
+	require.Empty(t, shed)
+	require.True(t, c.Complete(first))
+	second, _ := c.Open(callers, address(1), 1)
+	granted, shed := c.Acquire(second, 900<<10, 1)
+	require.Zero(t, granted)
+	require.Equal(t, []*admit.Conn{second}, shed)
+	require.False(t, c.Complete(second))
+	require.False(t, first.Shed)
+}
+
+// Guards against one listener, or one address, that takes the connections of the others.
+func TestListenersAndAddressesDoNotStarveEachOther(t *testing.T) {
+	c := admit.New(admit.Settings{Bytes: 1 << 30, Connections: 10, ConnectionsPerAddress: 4, ReservedConnections: 2})
+	for i := range 20 {
+		n, _ := c.Open(callers, address(i), clock.Millis(i))
+		require.NotNil(t, n)
+		c.Acquire(n, 1, clock.Millis(i))
+		c.Complete(n)
+		if i >= 9 {
+			break
+		}
+	}
+	refused, _ := c.Open(callers, address(50), 50)
+	require.Nil(t, refused)
+	probe, _ := c.Open("readiness", address(51), 51)
+	require.NotNil(t, probe)
+	require.EqualValues(t, 1, c.Refused[admit.Connections])
+	for range 4 {
+		c.Open("readiness", address(60), 60)
+	}
+	require.Positive(t, c.Refused[admit.AddressConnections]+c.Refused[admit.Connections])
+}
+
+// Guards against limits that clients within the documented ones reach on the smallest entry:
+// 1,100 jobs at once with bodies of 6 KB through one address.
+func TestDefaultsAdmitDocumentedLoad(t *testing.T) {
+	c := admit.New(admit.Defaults(admit.SmallestMemoryMB, admit.SmallestDescriptors))
+	for i := range 1100 {
+		n, shed := c.Open(callers, address(1), clock.Millis(i))
+		require.NotNil(t, n)
+		require.Empty(t, shed)
+		granted, shed := c.Acquire(n, admit.HeaderCost(600, 10)+admit.BodyCost(6<<10), clock.Millis(i))
+		require.Positive(t, granted)
+		require.Empty(t, shed)
+		c.Complete(n)
+	}
+	require.Empty(t, c.Refused)
+}
+
+// Guards against bytes that are acquired and never released.
+func TestEverythingIsReleased(t *testing.T) {
+	c := admit.New(admit.Defaults(admit.MinMemoryMB, admit.MinDescriptors))
+	for i := range 500 {
+		n, shed := c.Open(callers, address(i), clock.Millis(i))
+		closeAll(c, shed)
+		_, shed = c.Acquire(n, int64(i)*2000, clock.Millis(i))
+		closeAll(c, shed)
+		if i%3 == 0 {
+			c.Refuse(n, admit.SlowBody)
+		}
+		c.Finish(n, clock.Millis(i))
+		c.Close(n)
+		c.Close(n)
+	}
+	require.Zero(t, c.Bytes)
+	require.Zero(t, c.Closing)
+	require.Zero(t, c.Count())
+}
