serve: Admit clients of all listeners through one gate

Cause: requests of legal size from many clients exhausted memory and descriptors, at each listener that internal/serve serves.

Change: connections acquire bytes from the process-wide budget of internal/admit as they read, and release them with the response. Metrics and one log line for each reason in 10 s show what was refused.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -12,10 +12,12 @@
 
 	"github.com/juju/errors"
 
+	"github.com/turmericbarrow/turmericbarrow/internal/admit"
 	"github.com/turmericbarrow/turmericbarrow/internal/clock"
 	"github.com/turmericbarrow/turmericbarrow/internal/contr"
 	"github.com/turmericbarrow/turmericbarrow/internal/host"
 	"github.com/turmericbarrow/turmericbarrow/internal/link"
+	"github.com/turmericbarrow/turmericbarrow/internal/serve"
 	"github.com/turmericbarrow/turmericbarrow/internal/slot"
 	"github.com/turmericbarrow/turmericbarrow/internal/wire"
 )
@@ -35,7 +37,9 @@
 	TLS               *tls.Config
 	HeartbeatInterval clock.Millis
 	LinkIdleTimeout   clock.Millis
-	Slot              slot.Settings
+	// Clients are the limits on the clients of the HTTP interface.
+	Clients admit.Settings
+	Slot    slot.Settings
 }
 
 // LinkScope limits which entries an agent links to, besides those in its settings.
@@ -114,7 +118,7 @@
 		listedAt:         map[string]clock.Millis{},
 	}
 	a.node = link.New(link.Settings{Self: s.Self, TLS: s.TLS, IdleTimeout: s.LinkIdleTimeout}, log)
-	a.web = newWebServer(s.Listen, a.inbox, log)
+	a.web = newWebServer(s.Listen, a.inbox, serve.NewGate(s.Clients, c, log), log)
 	return a
 }
 
--- a/internal/agent/web.go
+++ b/internal/agent/web.go
@@ -113,8 +113,8 @@
 	inbox chan<- message
 }
 
-func newWebServer(listen string, inbox chan<- message, log *slog.Logger) *webServer {
-	return &webServer{Server: serve.New(listen, log), inbox: inbox}
+func newWebServer(listen string, inbox chan<- message, g *serve.Gate, log *slog.Logger) *webServer {
+	return &webServer{Server: serve.New(listen, g, log), inbox: inbox}
 }
 
 func (w *webServer) serve(ctx context.Context, done chan<- error) {
@@ -217,6 +217,7 @@
 		return
 	}
 	writeMetrics(rw, s)
+	w.WriteClientMetrics(rw)
 	metrics.WriteProcessMetrics(rw)
 }
 
--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -45,8 +45,8 @@
 	inbox chan<- message
 }
 
-func newServer(listen string, c Clock, inbox chan<- message, log *slog.Logger) server {
-	return server{Server: serve.New(listen, log), clock: c, inbox: inbox}
+func newServer(listen string, c Clock, inbox chan<- message, g *serve.Gate, log *slog.Logger) server {
+	return server{Server: serve.New(listen, g, log), clock: c, inbox: inbox}
 }
 
 // send passes a message to the entry's main goroutine. It reports false if ctx ended
@@ -70,8 +70,8 @@
 	ready chan bool
 }
 
-func newCallerServer(s Settings, c Clock, inbox chan<- message, log *slog.Logger) *callerServer {
-	cs := &callerServer{server: newServer(s.CallerAddress, c, inbox, log), maxBodyBytes: s.MaxBodyBytes, incarnation: s.Self.Incarnation, ready: make(chan bool, 1)}
+func newCallerServer(s Settings, c Clock, inbox chan<- message, g *serve.Gate, log *slog.Logger) *callerServer {
+	cs := &callerServer{server: newServer(s.CallerAddress, c, inbox, g, log), maxBodyBytes: s.MaxBodyBytes, incarnation: s.Self.Incarnation, ready: make(chan bool, 1)}
 	cs.ready <- false
 	return cs
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -12,6 +12,7 @@
 
 	"github.com/juju/errors"
 
+	"github.com/turmericbarrow/turmericbarrow/internal/admit"
 	"github.com/turmericbarrow/turmericbarrow/internal/clock"
 	"github.com/turmericbarrow/turmericbarrow/internal/contr"
 	"github.com/turmericbarrow/turmericbarrow/internal/disp"
@@ -20,6 +21,7 @@
 	"github.com/turmericbarrow/turmericbarrow/internal/link"
 	"github.com/turmericbarrow/turmericbarrow/internal/logsvc"
 	"github.com/turmericbarrow/turmericbarrow/internal/reply"
+	"github.com/turmericbarrow/turmericbarrow/internal/serve"
 )
 
 // Settings configures an entry.
@@ -50,7 +52,9 @@
 	LingerMS clock.Millis
 	// MaxBodyBytes is the maximum size of the body of a request or job.
 	MaxBodyBytes int64
-	Dispatch     disp.Settings
+	// Clients are the limits on the clients of all listeners.
+	Clients  admit.Settings
+	Dispatch disp.Settings
 }
 
 // Clock returns the current time.
@@ -161,8 +165,9 @@
 	}
 	e.node = link.New(link.Settings{
 		Self: s.Self, Listen: s.LinkAddress, TLS: s.TLS, IdleTimeout: s.LinkIdleTimeout}, log)
-	e.callers = newCallerServer(s, c, e.inbox, log)
-	e.operators = newOperatorServer(s, c, e.inbox, log)
+	gate := serve.NewGate(s.Clients, c, log)
+	e.callers = newCallerServer(s, c, e.inbox, gate, log)
+	e.operators = newOperatorServer(s, c, e.inbox, gate, log)
 	e.platformLog = newPlatformLog(l, s.Self.Location.Region, log)
 	e.disp = disp.New(s.Dispatch, parts)
 	return e
--- a/internal/entry/operators.go
+++ b/internal/entry/operators.go
@@ -18,6 +18,7 @@
 	"github.com/turmericbarrow/turmericbarrow/internal/audit"
 	"github.com/turmericbarrow/turmericbarrow/internal/clock"
 	"github.com/turmericbarrow/turmericbarrow/internal/contr"
+	"github.com/turmericbarrow/turmericbarrow/internal/serve"
 )
 
 // Errors for an amendment without a verdict.
@@ -38,8 +39,8 @@
 	token string
 }
 
-func newOperatorServer(s Settings, c Clock, inbox chan<- message, log *slog.Logger) *operatorServer {
-	return &operatorServer{server: newServer(s.OperatorAddress, c, inbox, log), token: s.OperatorToken}
+func newOperatorServer(s Settings, c Clock, inbox chan<- message, g *serve.Gate, log *slog.Logger) *operatorServer {
+	return &operatorServer{server: newServer(s.OperatorAddress, c, inbox, g, log), token: s.OperatorToken}
 }
 
 func (o *operatorServer) serveRoutes(ctx context.Context, done chan<- error) {
@@ -101,6 +102,7 @@
 		return
 	}
 	writeMetrics(rw, s)
+	o.WriteClientMetrics(rw)
 	metrics.WriteProcessMetrics(rw)
 }
 
--- a/internal/local/local.go
+++ b/internal/local/local.go
@@ -12,6 +12,7 @@
 
 	"github.com/juju/errors"
 
+	"github.com/turmericbarrow/turmericbarrow/internal/admit"
 	"github.com/turmericbarrow/turmericbarrow/internal/agent"
 	"github.com/turmericbarrow/turmericbarrow/internal/certs"
 	"github.com/turmericbarrow/turmericbarrow/internal/clock"
@@ -260,6 +261,7 @@
 		RetentionMS:       retention,
 		LingerMS:          linger,
 		MaxBodyBytes:      maxBodyBytes,
+		Clients:           admit.Defaults(0, 0),
 		Dispatch: disp.Settings{
 			Self:            self,
 			KeyLimits:       grant.TableLimits{Window: keyWindowMS, MaxKeys: maxKeys, MaxAnswerBytes: maxAnswerBytes},
@@ -304,6 +306,7 @@
 		TLS:               tlsConfig,
 		HeartbeatInterval: heartbeatMS,
 		LinkIdleTimeout:   linkIdleTimeoutMS,
+		Clients:           admit.Defaults(0, 0),
 		Slot: slot.Settings{
 			UnlimitedWindows: d.options.Baseline,
 			Cache:            slot.CacheLimits{MaxAge: keyWindowMS, MaxTasks: agentCacheTasks, MaxBytes: maxAnswerBytes},
--- a/internal/serve/client.go
+++ b/internal/serve/client.go
@@ -29,11 +29,15 @@
 	if r.Context().Err() != nil {
 		return true
 	}
-	conn, ok := r.Context().Value(connKey{}).(*net.TCPConn)
+	c, ok := r.Context().Value(connKey{}).(*conn)
 	if !ok {
 		return false
 	}
-	raw, err := conn.SyscallConn()
+	tcp, ok := c.Conn.(*net.TCPConn)
+	if !ok {
+		return false
+	}
+	raw, err := tcp.SyscallConn()
 	if err != nil {
 		return false
 	}
--- a/pkg/cli/processes.go
+++ b/pkg/cli/processes.go
@@ -115,6 +115,10 @@
 	if err := f.check(); err != nil {
 		return entry.Settings{}, err
 	}
+	clients, err := f.clients.Settings()
+	if err != nil {
+		return entry.Settings{}, err
+	}
 	id, err := f.identity(host.RoleEntry)
 	if err != nil {
 		return entry.Settings{}, err
@@ -135,6 +139,7 @@
 		RetentionMS:           millis(f.logRetention),
 		LingerMS:              millis(f.linger),
 		MaxBodyBytes:          f.maxBodyBytes,
+		Clients:               clients,
 		Dispatch: disp.Settings{
 			Self:            id.self,
 			KeyLimits:       f.keyLimits(),
@@ -162,6 +167,7 @@
 	if err != nil {
 		return err
 	}
+	f.clients.SetMemoryLimit()
 	client := logsvc.New(f.logURL)
 	defer client.Close()
 	e := entry.New(s, clock.New(), entry.NewParts(s.Dispatch.KeyLimits), client, log)
@@ -231,6 +237,10 @@
 	case f.maxAnswerMB < 1:
 		return agent.Settings{}, badFlag("max-answer-mb", f.maxAnswerMB, "1 or more")
 	}
+	clients, err := f.clients.Settings()
+	if err != nil {
+		return agent.Settings{}, err
+	}
 	id, err := f.identity(host.RoleAgent)
 	if err != nil {
 		return agent.Settings{}, err
@@ -244,6 +254,7 @@
 		TLS:               id.tls,
 		HeartbeatInterval: millis(f.heartbeatInterval),
 		LinkIdleTimeout:   millis(f.linkIdleTimeout),
+		Clients:           clients,
 		Slot: slot.Settings{Cache: slot.CacheLimits{
 			MaxAge: millis(f.keyWindow), MaxTasks: f.maxTasks, MaxBytes: f.maxAnswerMB << 20}},
 	}, nil
@@ -258,6 +269,7 @@
 	if err != nil {
 		return err
 	}
+	f.clients.SetMemoryLimit()
 	ag := agent.New(s, clock.New(), fair.New(), log)
 	address, err := ag.Open()
 	if err != nil {
--- a/pkg/cli/settings.go
+++ b/pkg/cli/settings.go
@@ -14,6 +14,7 @@
 	"github.com/turmericbarrow/turmericbarrow/internal/certs"
 	"github.com/turmericbarrow/turmericbarrow/internal/clock"
 	"github.com/turmericbarrow/turmericbarrow/internal/host"
+	"github.com/turmericbarrow/turmericbarrow/internal/serve"
 	"github.com/turmericbarrow/turmericbarrow/internal/zone"
 )
 
@@ -28,6 +29,7 @@
 	key               string
 	heartbeatInterval time.Duration
 	linkIdleTimeout   time.Duration
+	clients           serve.ClientFlags
 }
 
 func (h *hostFlags) add(f *pflag.FlagSet) {
@@ -40,6 +42,7 @@
 	f.StringVar(&h.key, "key", "", "this host's private key, as PEM text or a file's path")
 	f.DurationVar(&h.heartbeatInterval, "heartbeat", 600*time.Millisecond, "interval of heartbeats on links")
 	f.DurationVar(&h.linkIdleTimeout, "silence", 1800*time.Millisecond, "how long a link may be silent before it is replaced")
+	h.clients.Add(f)
 }
 
 func (h *hostFlags) check() error {
