link: Bound what an unknown peer can send before its hello

Cause: the link port accepted frames of up to 16 MiB, buffered up to 1 MiB for each connection and held any number of connections before a hello.

Change: the first frame has at most 16 KiB, the initial receive window is 64 KiB, and at most 128 accepted connections wait for a hello. A refused peer dials again within a second.

--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -25,6 +25,12 @@
 const (
 	// MaxFrameBytes is the maximum size of a received frame.
 	MaxFrameBytes = 16 << 20
+	// maxHelloBytes is the maximum size of the first frame. Its sender is not known yet, and a
+	// hello has a few hundred bytes.
+	maxHelloBytes = 16 << 10
+	// maxPendingLinks is the maximum number of accepted connections without a hello. Each
+	// takes up to 200 KB.
+	maxPendingLinks = 128
 	// maxQueuedFrames is the maximum number of frames queued for a slow peer. When it
 	// is exceeded the link is closed, because Send must not block its callers.
 	maxQueuedFrames  = 2048
@@ -33,8 +39,8 @@
 	helloTimeout     = 3 * time.Second
 	shutdownTimeout  = 2 * time.Second
 	// initialWindowBytes and maxWindowBytes are the flow control windows of a stream and of
-	// a connection.
-	initialWindowBytes = 1 << 20
+	// a connection. The first one bounds what an unknown peer can make this process buffer.
+	initialWindowBytes = 64 << 10
 	maxWindowBytes     = 8 << 20
 )
 
@@ -173,15 +179,24 @@
 	if err := l.writer.Flush(); err != nil {
 		return errors.Annotatef(err, "send hello to %s", l.RemoteAddr())
 	}
-	f, err := l.readFrame()
+	peer, err := readHello(l.reader)
 	if err != nil {
 		return errors.Annotatef(err, "read hello from %s", l.RemoteAddr())
 	}
+	l.Peer = DecodeHost(peer)
+	return l.checkIdentity()
+}
+
+// readHello reads the first frame of a peer, which must be a hello.
+func readHello(r *bufio.Reader) (*wire.Hello, error) {
+	f, err := readFrame(r, maxHelloBytes)
+	if err != nil {
+		return nil, err
+	}
 	if f.GetHello() == nil {
-		return errors.Errorf("read hello from %s: the first frame is not a hello", l.RemoteAddr())
+		return nil, errors.New("the first frame is not a hello")
 	}
-	l.Peer = DecodeHost(f.GetHello())
-	return l.checkIdentity()
+	return f.GetHello(), nil
 }
 
 func (l *Link) checkIdentity() error {
@@ -205,10 +220,11 @@
 	return err
 }
 
-func (l *Link) readFrame() (*wire.Frame, error) {
+// readFrame reads a frame of at most the given size.
+func readFrame(r *bufio.Reader, maxBytes int64) (*wire.Frame, error) {
 	f := &wire.Frame{}
-	o := protodelim.UnmarshalOptions{MaxSize: MaxFrameBytes}
-	if err := o.UnmarshalFrom(l.reader, f); err != nil {
+	o := protodelim.UnmarshalOptions{MaxSize: maxBytes}
+	if err := o.UnmarshalFrom(r, f); err != nil {
 		return nil, err
 	}
 	return f, nil
@@ -231,7 +247,7 @@
 // readLoop passes received frames to the owner until the link or ctx ends.
 func (l *Link) readLoop(ctx context.Context, events chan<- Event) error {
 	for {
-		f, err := l.readFrame()
+		f, err := readFrame(l.reader, MaxFrameBytes)
 		if err != nil {
 			return errors.Annotatef(err, "read from %s", l.Peer.Name)
 		}
--- a/internal/link/node.go
+++ b/internal/link/node.go
@@ -40,6 +40,7 @@
 	maxHandshakeDoublings = 3
 	maxRedialMS           = clock.Millis(1000)
 	shutdownReason        = "shutting down"
+	tooManyConnections    = "too many connections without a hello"
 	// initialPacketBytes fits, with all headers, a path with an MTU of 1,500 bytes.
 	initialPacketBytes = 1350
 )
@@ -58,6 +59,8 @@
 	commands chan dialCommand
 	socket   *net.UDPConn
 	stopped  chan struct{}
+	// pending holds one value for each accepted connection without a hello.
+	pending chan struct{}
 }
 
 // New returns a node. Call Open before Run if the node accepts links.
@@ -68,6 +71,7 @@
 		events:   make(chan Event, eventBuffer),
 		commands: make(chan dialCommand, channelBuffer),
 		stopped:  make(chan struct{}),
+		pending:  make(chan struct{}, maxPendingLinks),
 	}
 }
 
@@ -227,6 +231,13 @@
 			return
 		}
 		select {
+		case n.pending <- struct{}{}:
+		default:
+			n.log.Warn("link refused", "peer", conn.RemoteAddr().String(), "reason", tooManyConnections)
+			conn.CloseWithError(0, tooManyConnections)
+			continue
+		}
+		select {
 		case accepted <- conn:
 		case <-ctx.Done():
 			conn.CloseWithError(0, shutdownReason)
@@ -238,33 +249,51 @@
 // runAccepted runs one accepted link until it ends.
 func (n *Node) runAccepted(ctx context.Context, conn *quic.Conn, ended chan<- struct{}) {
 	defer func() { ended <- struct{}{} }()
+	l := n.acceptLink(ctx, conn)
+	<-n.pending
+	if l != nil {
+		n.runLink(ctx, ctx, l)
+	}
+}
+
+// acceptLink waits for the stream and the hello of an accepted connection. It closes the
+// connection and returns nil if they do not arrive.
+func (n *Node) acceptLink(ctx context.Context, conn *quic.Conn) *Link {
 	helloCtx, cancel := context.WithTimeout(ctx, helloTimeout)
 	defer cancel()
 	stream, err := conn.AcceptStream(helloCtx)
 	if err != nil {
 		n.log.Warn("link setup failed", "peer", conn.RemoteAddr().String(), "error", err.Error())
 		conn.CloseWithError(0, "no stream")
-		return
+		return nil
 	}
-	n.runLink(ctx, ctx, newLink(conn, stream, ""))
+	l := newLink(conn, stream, "")
+	if !n.setUp(l) {
+		return nil
+	}
+	return l
 }
 
-// runLink exchanges hellos and runs the link until it or linkCtx ends. It reports whether the
-// link came up. The owner gets a Down for each Up, unless ctx, the context of the node, ends.
-func (n *Node) runLink(ctx, linkCtx context.Context, l *Link) bool {
+// setUp exchanges hellos. It closes the link and returns false if that fails.
+func (n *Node) setUp(l *Link) bool {
 	err := guard.Call("exchange hellos", func() error { return l.exchangeHellos(n.settings.Self) })
 	if err != nil {
 		n.log.Warn("link setup failed", "peer", l.RemoteAddr().String(), "error", err.Error())
 		l.Close("refused")
 		return false
 	}
+	return true
+}
+
+// runLink runs a link that is set up until it or linkCtx ends. The owner gets a Down for each
+// Up, unless ctx, the context of the node, ends.
+func (n *Node) runLink(ctx, linkCtx context.Context, l *Link) {
 	if !n.emit(ctx, Event{Type: Up, Link: l}) {
 		l.Close(shutdownReason)
-		return false
+		return
 	}
-	err = l.run(linkCtx, n.events)
+	err := l.run(linkCtx, n.events)
 	n.emit(ctx, Event{Type: Down, Link: l, Err: err})
-	return true
 }
 
 // emit sends an event to the owner. It may drop the event, and then returns false, once ctx
@@ -319,7 +348,12 @@
 		conn.CloseWithError(0, "no stream")
 		return false
 	}
-	return n.runLink(ctx, dialCtx, newLink(conn, stream, address))
+	l := newLink(conn, stream, address)
+	if !n.setUp(l) {
+		return false
+	}
+	n.runLink(ctx, dialCtx, l)
+	return true
 }
 
 // networkFor returns the network of an address. IPv4 is explicit because hosts may lack
