platform, admit: Bound the memory of decoded jobs

Cause: a body of 262,144 bytes with 87,000 empty steps takes many times its size when it is decoded, and a job of a hundred bytes may have 4,096 tasks, which are held until the job is answered.

Change: large bodies of the product's own jobs are decoded one at a time like those of the platform, and a job acquires bytes for its tasks after it was decoded. If there are none it is refused with 503 and a Retry-After; nothing of it has run. Jobs of up to 51 tasks acquire nothing further.

--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -48,6 +48,10 @@
 	smallBytes = 32 << 10
 )
 
+// TaskBytes is the cost of a task of a job until the job is answered. A job of a hundred bytes
+// may have thousands of tasks.
+const TaskBytes = 160
+
 // Parts of the budget, as divisors.
 const (
 	// reserveDivisor: small requests may exceed the budget by this part.
@@ -187,6 +191,28 @@
 	return granted, shed
 }
 
+// Extend acquires further bytes for a request that has arrived whole, once its decoded form is
+// known. If the budget has none it returns zero, and the request must be refused as not run. The
+// caller closes the shed connections.
+func (c *Control) Extend(n *Conn, cost int64, now clock.Millis) (int64, []*Conn) {
+	granted, shed := c.Acquire(n, cost, now)
+	if granted == 0 || c.Bytes <= c.limitFor(n) {
+		return granted, shed
+	}
+	n.Bytes -= granted
+	c.Bytes -= granted
+	c.Refused[Memory]++
+	return 0, shed
+}
+
+// limitFor returns the bytes that may be acquired for a connection.
+func (c *Control) limitFor(n *Conn) int64 {
+	if n.Bytes <= smallBytes {
+		return c.Settings.Bytes + c.Settings.Bytes/reserveDivisor
+	}
+	return c.Settings.Bytes
+}
+
 // relieve sheds connections if the budget is exceeded. n is the connection that has just
 // acquired bytes; it is shed as well if nothing else helps and it is not small.
 func (c *Control) relieve(n *Conn, now clock.Millis) []*Conn {
@@ -201,10 +227,7 @@
 		}
 		shed = append(shed, c.shed(victim, Memory))
 	}
-	limit := budget
-	if n.Bytes <= smallBytes {
-		limit += budget / reserveDivisor
-	}
+	limit := c.limitFor(n)
 	over := c.Bytes > limit || c.Bytes+c.Closing > limit+budget/closingDivisor
 	if over && !n.Shed && n.Phase != PhaseComplete {
 		shed = append(shed, c.shed(n, Memory))
--- a/internal/admit/admit_test.go
+++ b/internal/admit/admit_test.go
@@ -158,3 +158,22 @@
 	require.Zero(t, c.Closing)
 	require.Zero(t, c.Count())
 }
+
+// Guards against small jobs of many tasks: a request whose decoded form does not fit is refused,
+// and keeps its connection and what it had acquired.
+func TestExtensionBeyondBudgetIsRefused(t *testing.T) {
+	c := admit.New(admit.Settings{Bytes: 1 << 20, Connections: 10, ConnectionsPerAddress: 10})
+	n, _ := c.Open(callers, address(1), 0)
+	c.Acquire(n, 100, 0)
+	c.Complete(n)
+	before := c.Bytes
+	granted, shed := c.Extend(n, 4096*admit.TaskBytes, 1)
+	require.Positive(t, granted)
+	require.Empty(t, shed)
+	granted, shed = c.Extend(n, 4096*admit.TaskBytes, 1)
+	require.Zero(t, granted)
+	require.Empty(t, shed)
+	require.False(t, n.Shed)
+	c.Finish(n, 2)
+	require.Less(t, c.Bytes, before)
+}
--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -215,7 +215,10 @@
 	m := submit{request: newRequestID(), job: true, tokenHash: tokenHash(r)}
 	body, p := c.readBody(rw, r)
 	if p == nil {
-		p = parseJob(&m, body)
+		decode := func() { p = parseJob(&m, body) }
+		if c.Decode(r.Context(), len(body), decode) != nil {
+			return
+		}
 	}
 	if p != nil {
 		writeProblem(rw, m.request, *p)
--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -93,6 +93,15 @@
 	Steps   []Step
 }
 
+// TaskCount returns the number of tasks of all steps.
+func (s Spec) TaskCount() int {
+	n := 0
+	for _, step := range s.Steps {
+		n += step.Count
+	}
+	return n
+}
+
 // Outcome is how a run of a task ended.
 type Outcome int
 
--- a/internal/serve/conn.go
+++ b/internal/serve/conn.go
@@ -143,6 +143,17 @@
 	return c.complete
 }
 
+// extensionBytes is the smallest cost that Extend acquires. The bytes of an ordinary request
+// include less.
+const extensionBytes = 8 << 10
+
+// Extend acquires further bytes for a decoded request. If it reports false, the process has no
+// memory for the request, which must then be refused as not run.
+func Extend(r *http.Request, cost int64) bool {
+	c, ok := r.Context().Value(connKey{}).(*conn)
+	return !ok || cost < extensionBytes || c.gate.extend(c.client, cost)
+}
+
 // body is the body of a request.
 type body struct {
 	io.ReadCloser
--- a/internal/serve/gate.go
+++ b/internal/serve/gate.go
@@ -129,6 +129,15 @@
 	return granted
 }
 
+// extend acquires further bytes for a request that has arrived whole. It reports false if there
+// are none.
+func (g *Gate) extend(c *admit.Conn, cost int64) bool {
+	st := <-g.state
+	granted, shed := st.control.Extend(c, cost, g.clock.Now())
+	g.release(st, shed, granted == 0)
+	return granted > 0
+}
+
 func (g *Gate) complete(c *admit.Conn) bool {
 	st := <-g.state
 	ok := st.control.Complete(c)
