admit: Keep connections for probes whatever callers use

Cause: callers and probes of a balancer share one address, so callers' requests could use up what its probes need.

Result: TestListenersAndAddressesDoNotStarveEachOther and TestProbesAreAdmittedBeyondTheBudget pass.

--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -5,6 +5,7 @@
 
 import (
 	"cmp"
+	"math"
 	"net/netip"
 	"slices"
 
@@ -123,7 +124,8 @@
 // may include the new one.
 func (c *Control) Open(listener string, address netip.Addr, now clock.Millis) (*Conn, []*Conn) {
 	var shed []*Conn
-	if c.byAddress[address] >= c.Settings.ConnectionsPerAddress {
+	reserved := c.byListener[listener] < c.Settings.ReservedConnections
+	if c.byAddress[address] >= c.Settings.ConnectionsPerAddress && !reserved {
 		victim := c.oldest(func(o *Conn) bool { return o.Address == address })
 		if victim == nil {
 			c.Refused[AddressConnections]++
@@ -131,7 +133,7 @@
 		}
 		shed = append(shed, c.shed(victim, AddressConnections))
 	}
-	if len(c.conns) >= c.Settings.Connections && c.byListener[listener] >= c.Settings.ReservedConnections {
+	if len(c.conns) >= c.Settings.Connections && !reserved {
 		victim := c.oldest(func(o *Conn) bool {
 			return c.byListener[o.Listener] > c.Settings.ReservedConnections || o.Listener == listener
 		})
@@ -205,12 +207,17 @@
 	return 0, shed
 }
 
-// limitFor returns the bytes that may be acquired for a connection.
+// limitFor returns the bytes up to which a connection may acquire more. Small requests on the
+// reserved connections of a listener, such as probes, have no limit: there are few of them.
 func (c *Control) limitFor(n *Conn) int64 {
-	if n.Bytes <= smallBytes {
+	switch {
+	case n.Bytes > smallBytes:
+		return c.Settings.Bytes
+	case c.byListener[n.Listener] <= c.Settings.ReservedConnections:
+		return math.MaxInt64 / 2
+	default:
 		return c.Settings.Bytes + c.Settings.Bytes/reserveDivisor
 	}
-	return c.Settings.Bytes
 }
 
 // relieve sheds connections if the budget is exceeded. n is the connection that has just
--- a/internal/admit/admit_test.go
+++ b/internal/admit/admit_test.go
@@ -100,27 +100,55 @@
 	require.False(t, first.Shed)
 }
 
-// Guards against one listener, or one address, that takes the connections of the others.
+// Guards against an address that takes the connections of the others, and against a balancer's
+// probe that is refused because requests which came through the balancer are being served.
 func TestListenersAndAddressesDoNotStarveEachOther(t *testing.T) {
-	c := admit.New(admit.Settings{Bytes: 1 << 30, Connections: 10, ConnectionsPerAddress: 4, ReservedConnections: 2})
-	for i := range 20 {
-		n, _ := c.Open(callers, address(i), clock.Millis(i))
-		require.NotNil(t, n)
-		c.Acquire(n, 1, clock.Millis(i))
-		c.Complete(n)
-		if i >= 9 {
-			break
+	c := admit.New(admit.Settings{Bytes: 10 << 20, Connections: 10, ConnectionsPerAddress: 8, ReservedConnections: 2})
+	openWhole := func(listener string, a int, cost int64) *admit.Conn {
+		n, _ := c.Open(listener, address(a), 0)
+		if n != nil {
+			granted, _ := c.Acquire(n, cost, 0)
+			require.Positive(t, granted)
+			require.True(t, c.Complete(n))
 		}
+		return n
 	}
-	refused, _ := c.Open(callers, address(50), 50)
-	require.Nil(t, refused)
-	probe, _ := c.Open("readiness", address(51), 51)
-	require.NotNil(t, probe)
+	for range 8 {
+		require.NotNil(t, openWhole(callers, 1, 1200<<10))
+	}
+	require.Nil(t, openWhole(callers, 1, 1))
+	require.EqualValues(t, 1, c.Refused[admit.AddressConnections])
+	for range 2 {
+		require.NotNil(t, openWhole(callers, 2, 1))
+	}
+	require.Nil(t, openWhole(callers, 3, 1))
 	require.EqualValues(t, 1, c.Refused[admit.Connections])
-	for range 4 {
-		c.Open("readiness", address(60), 60)
+	for range 2 {
+		require.NotNil(t, openWhole("readiness", 1, 1))
+	}
+	require.Nil(t, openWhole("readiness", 1, 1))
+}
+
+// Guards against a budget that is used up by large requests which are being served: probes are
+// still answered.
+func TestProbesAreAdmittedBeyondTheBudget(t *testing.T) {
+	c := admit.New(admit.Settings{Bytes: 1 << 20, Connections: 100, ConnectionsPerAddress: 100, ReservedConnections: 1})
+	for admitted := true; admitted; {
+		n, _ := c.Open(callers, address(1), 0)
+		granted, _ := c.Acquire(n, 100<<10, 0)
+		admitted = granted > 0 && c.Complete(n)
+	}
+	for admitted := true; admitted; {
+		n, _ := c.Open(callers, address(1), 0)
+		granted, _ := c.Acquire(n, 1, 0)
+		admitted = granted > 0 && c.Complete(n)
 	}
-	require.Positive(t, c.Refused[admit.AddressConnections]+c.Refused[admit.Connections])
+	require.Greater(t, c.Bytes, c.Settings.Bytes)
+	probe, shed := c.Open("readiness", address(1), 1)
+	require.NotNil(t, probe)
+	require.Empty(t, shed)
+	granted, _ := c.Acquire(probe, 200, 1)
+	require.Positive(t, granted)
 }
 
 // Guards against limits that clients within the documented ones reach on the smallest entry:
--- a/internal/admit/settings.go
+++ b/internal/admit/settings.go
@@ -13,8 +13,8 @@
 	// ConnectionsPerAddress is the number of connections from one address. Callers behind a
 	// balancer share one.
 	ConnectionsPerAddress int
-	// ReservedConnections is how many connections each listener may have although the process
-	// has reached Connections.
+	// ReservedConnections is how many connections each listener may have, for small requests,
+	// although the process or the client's address has reached another limit.
 	ReservedConnections int
 	// HeaderLines is the number of header lines of a request.
 	HeaderLines int
--- a/internal/serve/flags.go
+++ b/internal/serve/flags.go
@@ -29,6 +29,10 @@
 
 // ClientFlags are the flags that limit the clients of a process. Zero values are derived.
 type ClientFlags struct {
+	// AssumedMemoryMB is the memory from which the limits follow if MemoryMB is zero. If both
+	// are zero, they follow from the memory of the smallest host.
+	AssumedMemoryMB int
+
 	MemoryMB              int
 	Descriptors           int
 	ClientMB              int
@@ -68,7 +72,11 @@
 			return admit.Settings{}, daemon.BadFlag(f.name, f.value, fmt.Sprintf("0, or %d to %d", f.minV, f.maxV))
 		}
 	}
-	return c.override(admit.Defaults(c.MemoryMB, c.Descriptors)), nil
+	memoryMB := c.MemoryMB
+	if memoryMB == 0 {
+		memoryMB = c.AssumedMemoryMB
+	}
+	return c.override(admit.Defaults(memoryMB, c.Descriptors)), nil
 }
 
 // override replaces the derived limits for which a flag is set.
--- a/pkg/cli/settings.go
+++ b/pkg/cli/settings.go
@@ -18,6 +18,9 @@
 	"github.com/turmericbarrow/turmericbarrow/internal/zone"
 )
 
+// assumedMemoryMB is the memory that the defaults of --max-keys and --max-answer-mb need.
+const assumedMemoryMB = 1024
+
 // hostFlags are the flags that entries and agents share.
 type hostFlags struct {
 	name              string
@@ -42,6 +45,7 @@
 	f.StringVar(&h.key, "key", "", "this host's private key, as PEM text or a file's path")
 	f.DurationVar(&h.heartbeatInterval, "heartbeat", 600*time.Millisecond, "interval of heartbeats on links")
 	f.DurationVar(&h.linkIdleTimeout, "silence", 1800*time.Millisecond, "how long a link may be silent before it is replaced")
+	h.clients.AssumedMemoryMB = assumedMemoryMB
 	h.clients.Add(f)
 }
 
