serve: Accept the limits of unusual hosts

Cause: a process did not start if its host has less than 64 MB, fewer than 600 or more than a million descriptors, or if the memory is not a whole number.

Change: 16 MB and 256 descriptors are enough, up to 2^30 descriptors are accepted, and the memory may have a fraction.

--- a/internal/admit/settings.go
+++ b/internal/admit/settings.go
@@ -30,8 +30,8 @@
 
 // Lower bounds of the settings from which the limits follow.
 const (
-	MinMemoryMB    = 64
-	MinDescriptors = 600
+	MinMemoryMB    = 16
+	MinDescriptors = 256
 )
 
 const (
@@ -40,6 +40,8 @@
 	budgetDenominator = 8
 	// reservedDescriptors are left for files (200), and for the sockets of links and calls.
 	reservedDescriptors = 456
+	// minConnections are admitted however few descriptors there are.
+	minConnections = 64
 	// reservedConnections suffice for probes, heartbeats and scrapers.
 	reservedConnections = 32
 	// maxHeaderLines exceeds what 16,384 bytes of headers can hold at three bytes a line.
@@ -58,7 +60,7 @@
 	}
 	budget := int64(memoryMB) << 20 * budgetNumerator / budgetDenominator
 	// Connections without requests may take half of the budget.
-	connections := min(int(budget/2/connectionBytes), descriptors-reservedDescriptors)
+	connections := max(min(int(budget/2/connectionBytes), descriptors-reservedDescriptors), minConnections)
 	return Settings{
 		Bytes:                 budget,
 		Connections:           connections,
--- a/internal/serve/flags.go
+++ b/internal/serve/flags.go
@@ -14,7 +14,7 @@
 // Bounds of the flags.
 const (
 	maxMemoryMB          = 1 << 20
-	maxDescriptors       = 1 << 20
+	maxDescriptors       = 1 << 30
 	minClientMB          = 8
 	minConnections       = 64
 	minHeaderLines       = 32
@@ -33,7 +33,7 @@
 	// are zero, they follow from the memory of the smallest host.
 	AssumedMemoryMB int
 
-	MemoryMB              int
+	MemoryMB              float64
 	Descriptors           int
 	ClientMB              int
 	Connections           int
@@ -44,7 +44,7 @@
 
 // Add adds the flags to a command.
 func (c *ClientFlags) Add(f *pflag.FlagSet) {
-	f.IntVar(&c.MemoryMB, "memory-mb", 0, "memory of this host in MB; 0 if it is not known")
+	f.Float64Var(&c.MemoryMB, "memory-mb", 0, "memory of this host in MB; 0 if it is not known")
 	f.IntVar(&c.Descriptors, "max-descriptors", 0, "descriptors that the process may open; 0 if it is not known")
 	f.IntVar(&c.ClientMB, "max-client-mb", 0, "memory in MB for connections and unanswered requests; "+derived)
 	f.IntVar(&c.Connections, "max-connections", 0, "connections of clients; "+derived)
@@ -60,7 +60,7 @@
 		value      int
 		minV, maxV int
 	}{
-		{"memory-mb", c.MemoryMB, admit.MinMemoryMB, maxMemoryMB},
+		{"memory-mb", int(c.MemoryMB), admit.MinMemoryMB, maxMemoryMB},
 		{"max-descriptors", c.Descriptors, admit.MinDescriptors, maxDescriptors},
 		{"max-client-mb", c.ClientMB, minClientMB, maxMemoryMB},
 		{"max-connections", c.Connections, minConnections, maxDescriptors},
@@ -72,7 +72,7 @@
 			return admit.Settings{}, daemon.BadFlag(f.name, f.value, fmt.Sprintf("0, or %d to %d", f.minV, f.maxV))
 		}
 	}
-	memoryMB := c.MemoryMB
+	memoryMB := int(c.MemoryMB)
 	if memoryMB == 0 {
 		memoryMB = c.AssumedMemoryMB
 	}
