link: Bound handshakes of unknown peers

Cause: connections counted as pending only after their handshake, so that first packets, also with false source addresses, made the process keep state without a bound.

Change: a connection is pending from its first packet.

--- a/internal/link/hello_test.go
+++ b/internal/link/hello_test.go
@@ -50,10 +50,10 @@
 		defer conn.CloseWithError(0, "")
 	}
 	require.Eventually(t, func() bool { return len(n.pending) == cap(n.pending) }, helloTimeout, time.Millisecond)
-	refused, err := quic.DialAddr(ctx, address, tls, nil)
-	require.NoError(t, err)
-	<-refused.Context().Done()
-	require.ErrorContains(t, context.Cause(refused.Context()), tooManyConnections)
+	_, err = quic.DialAddr(ctx, address, tls, nil)
+	var refused *quic.TransportError
+	require.ErrorAs(t, err, &refused)
+	require.Equal(t, quic.ConnectionRefused, refused.ErrorCode)
 	require.Eventually(t, func() bool { return len(n.pending) == 0 }, 30*time.Second, 10*time.Millisecond)
 	cancel()
 	<-done
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -28,9 +28,12 @@
 	// maxHelloBytes is the maximum size of the first frame. Its sender is not known yet, and a
 	// hello has a few hundred bytes.
 	maxHelloBytes = 16 << 10
-	// maxPendingLinks is the maximum number of accepted connections without a hello. Each
-	// takes up to 200 KB.
+	// maxPendingLinks is the maximum number of connections of peers that have not sent a hello.
+	// Each takes up to 200 KB.
 	maxPendingLinks = 128
+	// pendingTimeout exceeds the longest time from the first packet to a hello: twice the
+	// timeout of the handshake, and helloTimeout.
+	pendingTimeout = 2*maxHandshakeTimeout + helloTimeout + time.Second
 	// maxQueuedFrames is the maximum number of frames queued for a slow peer. When it
 	// is exceeded the link is closed, because Send must not block its callers.
 	maxQueuedFrames  = 2048
--- a/internal/link/node.go
+++ b/internal/link/node.go
@@ -40,7 +40,6 @@
 	maxHandshakeDoublings = 3
 	maxRedialMS           = clock.Millis(1000)
 	shutdownReason        = "shutting down"
-	tooManyConnections    = "too many connections without a hello"
 	// initialPacketBytes fits, with all headers, a path with an MTU of 1,500 bytes.
 	initialPacketBytes = 1350
 )
@@ -59,7 +58,8 @@
 	commands chan dialCommand
 	socket   *net.UDPConn
 	stopped  chan struct{}
-	// pending holds one value for each accepted connection without a hello.
+	// pending holds one value for each connection of an unknown peer, from its first packet to
+	// its hello.
 	pending chan struct{}
 }
 
@@ -216,7 +216,7 @@
 
 func (n *Node) listen(ctx context.Context, accepted chan<- *quic.Conn, ended chan<- struct{}) {
 	defer func() { ended <- struct{}{} }()
-	t := &quic.Transport{Conn: n.socket}
+	t := &quic.Transport{Conn: n.socket, ConnContext: n.reservePending, VerifySourceAddress: n.verifiesAddresses}
 	defer n.socket.Close()
 	defer t.Close()
 	l, err := t.Listen(n.settings.TLS, n.quicConfig(maxHandshakeTimeout))
@@ -231,13 +231,6 @@
 			return
 		}
 		select {
-		case n.pending <- struct{}{}:
-		default:
-			n.log.Warn("link refused", "peer", conn.RemoteAddr().String(), "reason", tooManyConnections)
-			conn.CloseWithError(0, tooManyConnections)
-			continue
-		}
-		select {
 		case accepted <- conn:
 		case <-ctx.Done():
 			conn.CloseWithError(0, shutdownReason)
@@ -250,7 +243,7 @@
 func (n *Node) runAccepted(ctx context.Context, conn *quic.Conn, ended chan<- struct{}) {
 	defer func() { ended <- struct{}{} }()
 	l := n.acceptLink(ctx, conn)
-	<-n.pending
+	releasePending(conn.Context())
 	if l != nil {
 		n.runLink(ctx, ctx, l)
 	}
