serve: Count header lines up to the end of the headers

Change: the end of the headers is found across reads; the rest is charged as a body.

Result: TestHeadCountsHeaderLinesOnly passes.

--- a/internal/serve/conn.go
+++ b/internal/serve/conn.go
@@ -1,7 +1,6 @@
 package serve
 
 import (
-	"bytes"
 	"io"
 	"net"
 	"net/http"
@@ -50,8 +49,8 @@
 	credit int64
 	// inHeaders is set from the end of a request until the headers of the next one are read.
 	inHeaders bool
-	// headerBytes and lines count what has arrived of the current headers.
-	headerBytes, lines int
+	// head is what has arrived of the current headers.
+	head head
 	// complete is set while a request that has arrived whole is served. Only the goroutine that
 	// serves the connection uses it.
 	complete bool
@@ -63,7 +62,7 @@
 	if n > 0 && !c.received(p[:n]) {
 		return 0, errShed
 	}
-	if err != nil && c.inHeaders && c.headerBytes > 0 && errors.Is(err, os.ErrDeadlineExceeded) {
+	if err != nil && c.inHeaders && c.head.bytes > 0 && errors.Is(err, os.ErrDeadlineExceeded) {
 		c.gate.refuse(c.client, admit.SlowHeaders)
 	}
 	return n, err
@@ -71,18 +70,16 @@
 
 // received acquires the cost of bytes. It reports false if the connection was refused or shed.
 func (c *conn) received(p []byte) bool {
-	cost := admit.BodyCost(len(p))
-	if c.inHeaders {
-		lines := bytes.Count(p, []byte{'\n'})
-		c.headerBytes += len(p)
-		c.lines += lines
-		if c.lines > c.gate.settings.HeaderLines {
-			c.gate.refuse(c.client, admit.HeaderLines)
-			return false
-		}
-		cost = admit.HeaderCost(len(p), lines)
+	if !c.inHeaders {
+		return c.spend(admit.BodyCost(len(p)))
+	}
+	length, lines := c.head.add(p)
+	// The first line is the request line.
+	if c.head.lines > c.gate.settings.HeaderLines+1 {
+		c.gate.refuse(c.client, admit.HeaderLines)
+		return false
 	}
-	return c.spend(cost)
+	return c.spend(admit.HeaderCost(length, lines) + admit.BodyCost(len(p)-length))
 }
 
 func (c *conn) spend(cost int64) bool {
@@ -130,7 +127,7 @@
 		c.spend(1)
 	case http.StateIdle:
 		c.gate.finish(c.client)
-		c.inHeaders, c.complete, c.headerBytes, c.lines, c.credit = true, false, 0, 0, 0
+		c.inHeaders, c.head, c.complete, c.credit = true, head{}, false, 0
 	}
 }
 
