--- a/internal/link/node.go
+++ b/internal/link/node.go
@@ -58,6 +58,9 @@
 	commands chan dialCommand
 	socket   *net.UDPConn
 	stopped  chan struct{}
+	// pending holds one value for each connection of an unknown peer, from its first packet to
+	// its hello.
+	pending chan struct{}
 }
 
 // New returns a node. Call Open before Run if the node accepts links.
@@ -68,6 +71,7 @@
 		events:   make(chan Event, eventBuffer),
 		commands: make(chan dialCommand, channelBuffer),
 		stopped:  make(chan struct{}),
+		pending:  make(chan struct{}, maxPendingLinks),
 	}
 }
 
@@ -212,7 +216,7 @@
 
 func (n *Node) listen(ctx context.Context, accepted chan<- *quic.Conn, ended chan<- struct{}) {
 	defer func() { ended <- struct{}{} }()
-	t := &quic.Transport{Conn: n.socket}
+	t := &quic.Transport{Conn: n.socket, ConnContext: n.reservePending, VerifySourceAddress: n.verifiesAddresses}
 	defer n.socket.Close()
 	defer t.Close()
 	l, err := t.Listen(n.settings.TLS, n.quicConfig(maxHandshakeTimeout))
@@ -238,33 +242,51 @@
 // runAccepted runs one accepted link until it ends.
 func (n *Node) runAccepted(ctx context.Context, conn *quic.Conn, ended chan<- struct{}) {
 	defer func() { ended <- struct{}{} }()
+	l := n.acceptLink(ctx, conn)
+	releasePending(conn.Context())
+	if l != nil {
+		n.runLink(ctx, ctx, l)
+	}
+}
+
+// acceptLink waits for the stream and the hello of an accepted connection. It closes the
+// connection and returns nil if they do not arrive.
+func (n *Node) acceptLink(ctx context.Context, conn *quic.Conn) *Link {
 	helloCtx, cancel := context.WithTimeout(ctx, helloTimeout)
 	defer cancel()
 	stream, err := conn.AcceptStream(helloCtx)
 	if err != nil {
 		n.log.Warn("link setup failed", "peer", conn.RemoteAddr().String(), "error", err.Error())
 		conn.CloseWithError(0, "no stream")
-		return
+		return nil
 	}
-	n.runLink(ctx, ctx, newLink(conn, stream, ""))
+	l := newLink(conn, stream, "")
+	if !n.setUp(l) {
+		return nil
+	}
+	return l
 }
 
-// runLink exchanges hellos and runs the link until it or linkCtx ends. It reports whether the
-// link came up. The owner gets a Down for each Up, unless ctx, the context of the node, ends.
-func (n *Node) runLink(ctx, linkCtx context.Context, l *Link) bool {
+// setUp exchanges hellos. It closes the link and returns false if that fails.
+func (n *Node) setUp(l *Link) bool {
 	err := guard.Call("exchange hellos", func() error { return l.exchangeHellos(n.settings.Self) })
 	if err != nil {
 		n.log.Warn("link setup failed", "peer", l.RemoteAddr().String(), "error", err.Error())
 		l.Close("refused")
 		return false
 	}
+	return true
+}
+
+// runLink runs a link that is set up until it or linkCtx ends. The owner gets a Down for each
+// Up, unless ctx, the context of the node, ends.
+func (n *Node) runLink(ctx, linkCtx context.Context, l *Link) {
 	if !n.emit(ctx, Event{Type: Up, Link: l}) {
 		l.Close(shutdownReason)
-		return false
+		return
 	}
-	err = l.run(linkCtx, n.events)
+	err := l.run(linkCtx, n.events)
 	n.emit(ctx, Event{Type: Down, Link: l, Err: err})
-	return true
 }
 
 // emit sends an event to the owner. It may drop the event, and then returns false, once ctx
@@ -319,7 +341,12 @@
 		conn.CloseWithError(0, "no stream")
 		return false
 	}
-	return n.runLink(ctx, dialCtx, newLink(conn, stream, address))
+	l := newLink(conn, stream, address)
+	if !n.setUp(l) {
+		return false
+	}
+	n.runLink(ctx, dialCtx, l)
+	return true
 }
 
 // networkFor returns the network of an address. IPv4 is explicit because hosts may lack
--- a/pkg/cli/processes.go
+++ b/pkg/cli/processes.go
@@ -102,6 +102,10 @@
 	if err := errs.first(); err != nil {
 		return entry.Settings{}, err
 	}
+	clients, err := f.clients.Settings()
+	if err != nil {
+		return entry.Settings{}, err
+	}
 	id, err := f.identity(host.RoleEntry)
 	if err != nil {
 		return entry.Settings{}, err
@@ -122,6 +126,7 @@
 		RetentionMS:           millis(f.logRetention),
 		LingerMS:              millis(f.linger),
 		MaxBodyBytes:          f.maxBodyBytes,
+		Clients:               clients,
 		Dispatch: disp.Settings{
 			Self:            id.self,
 			KeyLimits:       f.keyLimits(),
@@ -152,6 +157,7 @@
 	if err != nil {
 		return err
 	}
+	f.clients.SetMemoryLimit()
 	client := logsvc.New(f.logURL)
 	defer client.Close()
 	e := entry.New(s, clock.New(), entry.NewParts(s.Dispatch.KeyLimits), client, log)
@@ -217,6 +223,10 @@
 	if err := errs.first(); err != nil {
 		return agent.Settings{}, err
 	}
+	clients, err := f.clients.Settings()
+	if err != nil {
+		return agent.Settings{}, err
+	}
 	id, err := f.identity(host.RoleAgent)
 	if err != nil {
 		return agent.Settings{}, err
@@ -230,6 +240,7 @@
 		TLS:               id.tls,
 		HeartbeatInterval: millis(f.heartbeatInterval),
 		LinkIdleTimeout:   millis(f.linkIdleTimeout),
+		Clients:           clients,
 		Slot: slot.Settings{Cache: slot.CacheLimits{
 			MaxAge: millis(f.keyWindow), MaxTasks: f.maxTasks, MaxBytes: f.maxAnswerMB << 20}},
 	}, nil
@@ -247,6 +258,7 @@
 	if err != nil {
 		return err
 	}
+	f.clients.SetMemoryLimit()
 	ag := agent.New(s, clock.New(), fair.New(), log)
 	address, err := ag.Open()
 	if err != nil {
--- a/pkg/cli/settings.go
+++ b/pkg/cli/settings.go
@@ -14,9 +14,13 @@
 	"github.com/turmericbarrow/turmericbarrow/internal/certs"
 	"github.com/turmericbarrow/turmericbarrow/internal/clock"
 	"github.com/turmericbarrow/turmericbarrow/internal/host"
+	"github.com/turmericbarrow/turmericbarrow/internal/serve"
 	"github.com/turmericbarrow/turmericbarrow/internal/zone"
 )
 
+// assumedMemoryMB is the memory that the defaults of --max-keys and --max-answer-mb need.
+const assumedMemoryMB = 1024
+
 // hostFlags are the flags that entries and agents share.
 type hostFlags struct {
 	name              string
@@ -30,6 +34,7 @@
 	linkIdleTimeout   time.Duration
 	// checkOnly makes the process check its settings and exit.
 	checkOnly bool
+	clients   serve.ClientFlags
 }
 
 func (h *hostFlags) add(f *pflag.FlagSet) {
@@ -43,6 +48,8 @@
 	f.DurationVar(&h.heartbeatInterval, "heartbeat", 600*time.Millisecond, "interval of heartbeats on links")
 	f.DurationVar(&h.linkIdleTimeout, "silence", 1800*time.Millisecond, "how long a link may be silent before it is replaced")
 	f.BoolVar(&h.checkOnly, "check", false, "check the settings and exit with 2 if one is not allowed")
+	h.clients.AssumedMemoryMB = assumedMemoryMB
+	h.clients.Add(f)
 }
 
 // problems returns an error for each flag that is not allowed.
@@ -59,6 +66,9 @@
 	if h.linkIdleTimeout <= 2*h.heartbeatInterval {
 		errs = append(errs, badFlag("silence", h.linkIdleTimeout, "more than twice --heartbeat"))
 	}
+	if _, err := h.clients.Settings(); err != nil {
+		errs = append(errs, err)
+	}
 	return errs
 }
 
