place, sched: Refusals say how many workers would have fit a task

Cause: the log counted workers with any free processor time, so that no line told a fleet without room from one with room in fragments.

--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -211,20 +211,6 @@
 	View FleetView
 }
 
-// FleetView summarizes what the scheduler knew about a fleet when it made a decision.
-type FleetView struct {
-	// JobsToPlace is the number of jobs at this entry that have tasks to be placed, on
-	// any fleet.
-	JobsToPlace int
-	// Workers is the number of workers in the fleet. WorkersWithFreeCPU is how many of
-	// them accept tasks and have any processor time free.
-	Workers            int
-	WorkersWithFreeCPU int
-	// OldestReportMS is the age of the oldest report from a worker that is counted in
-	// WorkersWithFreeCPU.
-	OldestReportMS clock.Millis
-}
-
 // ResolveCause is why a run counts as over although no agent reported its end.
 type ResolveCause string
 
@@ -363,22 +349,6 @@
 	return a
 }
 
-// fleetView returns the current view of a fleet.
-func (s *Scheduler) fleetView(fleet string, now clock.Millis) FleetView {
-	v := FleetView{JobsToPlace: len(s.jobsToPlace)}
-	for _, w := range s.Workers {
-		if w.Fleet != fleet {
-			continue
-		}
-		v.Workers++
-		if w.hasFreeCPU() {
-			v.WorkersWithFreeCPU++
-			v.OldestReportMS = max(v.OldestReportMS, now-w.ReportedAt)
-		}
-	}
-	return v
-}
-
 // UnstartedJobs returns the number of a queue's jobs that have not started.
 func (s *Scheduler) UnstartedJobs(queue string) int {
 	n := 0
--- a/internal/place/schedule.go
+++ b/internal/place/schedule.go
@@ -93,7 +93,7 @@
 			reason = ReasonOverload
 		}
 		s.emitAnswer(Answer{Job: j, Verdict: VerdictRefused, Reason: reason,
-			RetryAfter: s.retryAfter(j.Queue.Fleet), View: s.fleetView(j.Queue.Fleet, now)})
+			RetryAfter: s.retryAfter(j.Queue.Fleet), View: s.fleetView(j, now)})
 	}
 }
 
--- a/internal/place/submit.go
+++ b/internal/place/submit.go
@@ -26,7 +26,7 @@
 	j := s.newJob(sub, now)
 	if reason := s.refusalReason(j, now); reason != ReasonNone {
 		s.emitAnswer(Answer{Job: j, Verdict: VerdictRefused, Reason: reason, RetryAfter: minRetryAfterMS,
-			View: s.fleetView(j.Queue.Fleet, now)})
+			View: s.fleetView(j, now)})
 		return true
 	}
 	s.Jobs[j.Spec.ID] = j
@@ -155,7 +155,7 @@
 		v = VerdictRefused
 	}
 	s.emitAnswer(Answer{Job: j, Verdict: v, Reason: reason, RetryAfter: minRetryAfterMS,
-		View: s.fleetView(j.Queue.Fleet, now)})
+		View: s.fleetView(j, now)})
 	stops := map[string][]jobs.TaskID{}
 	for _, t := range j.Tasks {
 		if t.State == TaskSent && !t.Stopping {
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -640,7 +640,7 @@
 		"took_ms", int64(took), "first_sent_ms", sinceArrival(j, j.FirstSentAt), "last_sent_ms", sinceArrival(j, j.LastSentAt),
 		"tasks", len(j.Tasks), "objective_ms", int64(j.Objective), "work_ms", int64(j.PredictedWorkMS),
 		"patience_ms", int64(j.QueueDeadline-j.ArrivedAt), "retry_after_ms", int64(a.RetryAfter), "waiting", a.View.JobsToPlace,
-		"workers", a.View.Workers, "open", a.View.WorkersWithFreeCPU, "oldest_report_ms", int64(a.View.OldestReportMS))
+		"workers", a.View.Workers, "open", a.View.WorkersWithFreeCPU, "fit", a.View.WorkersThatFit, "free_milli_cpu", a.View.FreeMilliCPU, "oldest_report_ms", int64(a.View.OldestReportMS))
 	e.answers.add(j.Spec.ID, rememberedAnswer{at: e.clock.Now(), verdict: a.Verdict.String(), request: e.requestIDs[j.Spec.ID]})
 	e.replyTo(j.Spec.ID, Reply{Verdict: a.Verdict, Reason: a.Reason, TermsVersion: j.TermsVersion, RetryAfter: a.RetryAfter})
 }
