--- a/internal/place/events.go
+++ b/internal/place/events.go
@@ -218,7 +218,7 @@
 		s.finish(j, VerdictUnknown, ReasonCallerDeadline, now)
 		return
 	}
-	if now > j.ArrivedAt+LateFactor*j.Objective && (j.hasUnknownTask() || j.hasWaitingTask()) {
+	if now > j.usefulUntil() && (j.hasUnknownTask() || j.hasWaitingTask()) {
 		// The answer would come too late to be of use.
 		s.finish(j, VerdictUnknown, ReasonWorkerLost, now)
 		return
--- a/internal/place/launch.go
+++ b/internal/place/launch.go
@@ -2,8 +2,8 @@
 
 import "github.com/turmericbarrow/turmericbarrow/internal/clock"
 
-// chooser returns the worker for a task, or nil if no worker suits it, and how long the worker's
-// agent is to hold the task until the worker has capacity.
+// chooser returns the worker for a task, or nil if no worker suits it. holdMS is how long the
+// worker's agent is to hold the task until the worker has capacity; zero if it has.
 type chooser func(j *Job, t *Task, now clock.Millis) (w *Worker, holdMS clock.Millis)
 
 // placeJob sends the job's waiting tasks to workers until no worker suits the next one.
--- a/internal/place/reserve.go
+++ b/internal/place/reserve.go
@@ -7,17 +7,18 @@
 	"github.com/turmericbarrow/turmericbarrow/internal/jobs"
 )
 
+// Free capacity that is spread over many workers is of no use to a large task: smaller tasks and
+// other entries take whatever becomes free on one worker. Look-ahead therefore sends a large task
+// that waits to the worker on which it is predicted to end first, before that worker has capacity
+// for it. The agent holds the task, and deducts it from the free capacity that it reports to all
+// entries, until the task fits or the prediction has failed. See docs/design/look-ahead.md.
+
 // Release is capacity that the agent of a worker predicts to become free.
 type Release struct {
 	At   clock.Millis
 	Size jobs.Size
 }
 
-// A large task waits long although capacity is free, if that is spread over many workers: whatever
-// becomes free on one of them is taken by smaller tasks, and by other entries. Such a task is sent
-// ahead to the worker on which it is predicted to end first. The agent holds it, and counts it in
-// its reports to all entries, until the worker has the capacity or the prediction has failed.
-
 const (
 	// minReservedFraction is the fraction of a worker's processor capacity that a task needs at
 	// least for capacity to be reserved for it. Smaller ones find gaps.
@@ -38,9 +39,9 @@
 
 // reservations are the reservations of this entry.
 type reservations struct {
-	// ends holds the ends of the holds that agents were asked for, in no order.
-	ends   []clock.Millis
-	counts ReservationCounts
+	// holdsUntil holds the times until which agents were asked to hold tasks, in no order.
+	holdsUntil []clock.Millis
+	counts     ReservationCounts
 	// plannedAt is when reservations were last planned.
 	plannedAt clock.Millis
 }
@@ -57,7 +58,7 @@
 	return s.reservations.counts
 }
 
-// recordReturn counts the return of a run that was not started.
+// recordReturn counts a reservation as failed if the agent returned the run of t without starting it.
 func (r *reservations) recordReturn(t *Task) {
 	if t.Held {
 		r.counts.Failed++
@@ -66,8 +67,8 @@
 
 // inForce returns the number of tasks that agents may be holding.
 func (r *reservations) inForce(now clock.Millis) int {
-	r.ends = slices.DeleteFunc(r.ends, func(end clock.Millis) bool { return end <= now })
-	return len(r.ends)
+	r.holdsUntil = slices.DeleteFunc(r.holdsUntil, func(until clock.Millis) bool { return until <= now })
+	return len(r.holdsUntil)
 }
 
 // reserveCapacity reserves capacity for the first of the jobs that wait.
@@ -109,26 +110,34 @@
 	return 0
 }
 
-// mayReserve reports whether capacity may be reserved for j: the fleet has enough that is free, and
-// no job with smaller tasks, which can use it as it is, waits as well.
+// mayReserve reports whether capacity may be reserved for j: enough of the fleet is free, and no job
+// waits whose smaller tasks could use the gaps that there are.
 func (s *Scheduler) mayReserve(j *Job) bool {
+	return s.hasEnoughFree(j.Queue.Fleet) && !s.smallerTaskWaits(j)
+}
+
+// hasEnoughFree reports whether at least minFreeFraction of the fleet is free.
+func (s *Scheduler) hasEnoughFree(fleet string) bool {
 	free, capacity := int64(0), int64(0)
 	for _, w := range s.Workers {
-		if w.Fleet == j.Queue.Fleet && w.usable() {
+		if w.Fleet == fleet && w.usable() {
 			free += max(w.Free().MilliCPU, 0)
 			capacity += w.Capacity.MilliCPU
 		}
 	}
-	if float64(free) < minFreeFraction*float64(capacity) {
-		return false
-	}
+	return float64(free) >= minFreeFraction*float64(capacity)
+}
+
+// smallerTaskWaits reports whether another job on the fleet of j has a waiting task that needs less
+// processor time than that of j.
+func (s *Scheduler) smallerTaskWaits(j *Job) bool {
 	needed := j.waitingCPU()
 	for _, o := range s.jobsToPlace {
 		if cpu := o.waitingCPU(); o.Queue.Fleet == j.Queue.Fleet && cpu > 0 && cpu < needed {
-			return false
+			return true
 		}
 	}
-	return true
+	return false
 }
 
 // chooseReservation returns the worker on which a task that does not fit now is predicted to end
@@ -138,7 +147,7 @@
 		return nil, 0
 	}
 	step := j.Spec.Steps[t.ID.Step]
-	bestEnd := float64(j.ArrivedAt + j.Objective)
+	bestEnd := float64(j.onTimeUntil())
 	for _, w := range s.Workers {
 		if !w.mayHold(t) || !w.fitsWhenIdle(j.Queue.Fleet, step.Label, step.Size) || !isLargeOn(w, step.Size) {
 			continue
@@ -153,7 +162,7 @@
 		}
 	}
 	if worker != nil {
-		s.reservations.ends = append(s.reservations.ends, now+holdMS)
+		s.reservations.holdsUntil = append(s.reservations.holdsUntil, now+holdMS)
 		s.reservations.counts.Made++
 	}
 	return worker, holdMS
--- a/internal/place/waiting.go
+++ b/internal/place/waiting.go
@@ -104,9 +104,5 @@
 	if !w.usable() || !w.fitsWhenIdle(j.Queue.Fleet, st.Label, st.Size) {
 		return false
 	}
-	end := float64(now+overheadMS) + float64(j.PredictedWorkMS)/w.Speed
-	if !j.pastQueueDeadline(now) {
-		return end <= float64(j.ArrivedAt+j.Objective)
-	}
-	return j.Started || end <= float64(j.ArrivedAt+LateFactor*j.Objective)
+	return j.acceptsEnd(j.earliestEnd(w, now), now)
 }
--- a/internal/place/worker.go
+++ b/internal/place/worker.go
@@ -1,6 +1,8 @@
 package place
 
 import (
+	"slices"
+
 	"github.com/turmericbarrow/turmericbarrow/internal/clock"
 	"github.com/turmericbarrow/turmericbarrow/internal/jobs"
 )
@@ -66,7 +68,7 @@
 	if !w.usable() || w.Fleet != fleet {
 		return false
 	}
-	if label != "" && !hasLabel(w.Labels, label) {
+	if label != "" && !slices.Contains(w.Labels, label) {
 		return false
 	}
 	if w.Probation && (len(w.unacked) > 0 || w.ReportedFree != w.Capacity) {
@@ -89,14 +91,5 @@
 // fitsWhenIdle reports whether w could run a task of the given fleet, label and size if it
 // ran nothing else.
 func (w *Worker) fitsWhenIdle(fleet, label string, size jobs.Size) bool {
-	return w.Fleet == fleet && (label == "" || hasLabel(w.Labels, label)) && size.FitsIn(w.Capacity)
-}
-
-func hasLabel(labels []string, wanted string) bool {
-	for _, label := range labels {
-		if label == wanted {
-			return true
-		}
-	}
-	return false
+	return w.Fleet == fleet && (label == "" || slices.Contains(w.Labels, label)) && size.FitsIn(w.Capacity)
 }
