offer, runner, sched: Names that are not taken for reservations, and comments

Book.Reserves had nothing to do with the reservations of look-ahead placement; it is HasDemandFor. The comment of cancelRelay said that only jobs of other entries are passed on.

--- a/internal/offer/announcer.go
+++ b/internal/offer/announcer.go
@@ -128,7 +128,7 @@
 	return taken
 }
 
-// record records what an agent is told.
+// record stores a notice that is sent, for comparison with later demands.
 func (a *Announcer) record(n Notice, now clock.Millis) {
 	if n.Waiting {
 		a.told[n.Agent] = notified{demand: n.Demand, at: now}
--- a/internal/offer/book.go
+++ b/internal/offer/book.go
@@ -47,7 +47,7 @@
 	return len(b.demands)
 }
 
-// SetDemand records the demand of an entry, in place of an earlier one.
+// SetDemand records the demand of an entry. It replaces an earlier demand of that entry.
 func (b *Book) SetDemand(entry string, d Demand, now clock.Millis) {
 	b.demands[entry] = &entryDemand{demand: d, at: now}
 }
@@ -71,11 +71,10 @@
 	return true
 }
 
-// Reserves reports whether free capacity is to be offered to waiting entries, rather than reported
-// to the entry whose run has ended.
-func (b *Book) Reserves(free jobs.Size) bool {
-	for _, k := range b.demands {
-		if k.demand.Size.FitsIn(free) {
+// HasDemandFor reports whether a job waits at an entry and a task of it fits into the free capacity.
+func (b *Book) HasDemandFor(free jobs.Size) bool {
+	for _, known := range b.demands {
+		if known.demand.Size.FitsIn(free) {
 			return true
 		}
 	}
@@ -85,7 +84,7 @@
 // Next returns the entry to which the free capacity is offered now, or false if none is.
 func (b *Book) Next(free jobs.Size, now clock.Millis) (string, bool) {
 	b.expire(now)
-	b.noteFree(free)
+	b.recordFree(free)
 	if b.offeredTo != "" && now-b.offeredAt < offerMS {
 		return "", false
 	}
@@ -98,8 +97,8 @@
 	return entry, found
 }
 
-// Suspend ends the outstanding offer, if there is one. It is called in place of Next while the
-// worker takes no runs.
+// Suspend ends the outstanding offer, if there is one. It is called in place of Next while no
+// capacity may be offered.
 func (b *Book) Suspend(now clock.Millis) {
 	b.expire(now)
 	b.offeredTo = ""
@@ -115,19 +114,19 @@
 
 // expire drops the demands that were not renewed.
 func (b *Book) expire(now clock.Millis) {
-	for entry, k := range b.demands {
-		if now-k.at >= ExpiryMS {
+	for entry, known := range b.demands {
+		if now-known.at >= ExpiryMS {
 			b.Remove(entry)
 		}
 	}
 }
 
-// noteFree records the free capacity. If more is free than before, each entry may get an offer
+// recordFree records the free capacity. If more is free than before, each entry may get an offer
 // again.
-func (b *Book) noteFree(free jobs.Size) {
+func (b *Book) recordFree(free jobs.Size) {
 	if !free.FitsIn(b.free) {
-		for _, k := range b.demands {
-			k.offered = false
+		for _, known := range b.demands {
+			known.offered = false
 		}
 	}
 	b.free = free
@@ -136,11 +135,11 @@
 // first returns the entry whose demand goes first among those that fit and got no offer yet.
 func (b *Book) first(free jobs.Size) (string, bool) {
 	entry, found := "", false
-	for e, k := range b.demands {
-		if k.offered || !k.demand.Size.FitsIn(free) {
+	for e, known := range b.demands {
+		if known.offered || !known.demand.Size.FitsIn(free) {
 			continue
 		}
-		if !found || goesFirst(e, k.demand, entry, b.demands[entry].demand) {
+		if !found || goesFirst(e, known.demand, entry, b.demands[entry].demand) {
 			entry, found = e, true
 		}
 	}
--- a/internal/offer/offer_test.go
+++ b/internal/offer/offer_test.go
@@ -29,12 +29,12 @@
 func TestDemandThatIsNotRenewedExpires(t *testing.T) {
 	b := NewBook()
 	b.SetDemand("e", demandAt(500), 0)
-	require.True(t, b.Reserves(cores(4)))
+	require.True(t, b.HasDemandFor(cores(4)))
 	require.Empty(t, next(b, cores(0), ExpiryMS-1))
 	require.Equal(t, 1, b.Waiting())
 	require.Empty(t, next(b, cores(4), ExpiryMS))
 	require.Zero(t, b.Waiting())
-	require.False(t, b.Reserves(cores(4)))
+	require.False(t, b.HasDemandFor(cores(4)))
 }
 
 // Of two waiting entries, the one whose job must start first goes first, whichever told first; a
@@ -84,7 +84,7 @@
 func TestCapacityIsNotKeptForDemandThatDoesNotFit(t *testing.T) {
 	b := NewBook()
 	b.SetDemand("e", Demand{LatestStart: 300, Size: jobs.Size{MilliCPU: 1000, Accelerators: 1}}, 0)
-	require.False(t, b.Reserves(cores(4)))
+	require.False(t, b.HasDemandFor(cores(4)))
 	require.Empty(t, next(b, cores(4), 1))
 }
 
--- a/internal/place/offers_test.go
+++ b/internal/place/offers_test.go
@@ -73,7 +73,7 @@
 
 // reportsEnd reports whether the entry of an ended run gets a report.
 func (f *fleetReplay) reportsEnd(a *fleetAgent, end runs.RunEnd) bool {
-	if end.Outcome != jobs.OutcomeDone || !a.book.Reserves(a.supervisor.Free()) {
+	if end.Outcome != jobs.OutcomeDone || !a.book.HasDemandFor(a.supervisor.Free()) {
 		return true
 	}
 	f.offers.leftOut++
--- a/internal/runner/calls.go
+++ b/internal/runner/calls.go
@@ -57,7 +57,7 @@
 	now := a.clock.Now()
 	for entry, ends := range reports {
 		if l := a.links[entry]; l != nil {
-			if !a.keepsForOffer(ends, now) {
+			if !a.withholdsReport(ends, now) {
 				l.link.Send(a.capacityFrame(l))
 			}
 			l.link.Send(endsFrame(ends))
--- a/internal/runner/offers.go
+++ b/internal/runner/offers.go
@@ -12,8 +12,8 @@
 // offerLogMS is the shortest interval between two log lines on offers.
 const offerLogMS = 10 * clock.Second
 
-// offers counts the capacity offers since the last log line on them.
-type offers struct {
+// offerCounts counts the capacity offers since the last log line on them.
+type offerCounts struct {
 	made     int
 	used     int
 	loggedAt clock.Millis
@@ -43,7 +43,7 @@
 		}
 		if l := a.links[entry]; l != nil {
 			a.metrics.recordOffer()
-			a.offers.made++
+			a.offerCounts.made++
 			l.link.Send(a.capacityFrame(l))
 			return
 		}
@@ -61,32 +61,32 @@
 	return !onProbation && !a.supervisor.Stalled()
 }
 
-// keepsForOffer reports whether the capacity that ended runs have left is offered to waiting
+// withholdsReport reports whether the capacity that ended runs have left is offered to waiting
 // entries rather than reported to the entry of these runs. An entry whose run was returned has to
 // learn the capacity in any case, or it would send the run again.
-func (a *Agent) keepsForOffer(ends []runs.RunEnd, now clock.Millis) bool {
+func (a *Agent) withholdsReport(ends []runs.RunEnd, now clock.Millis) bool {
 	for _, e := range ends {
 		if e.Outcome != jobs.OutcomeDone {
 			return false
 		}
 	}
-	return a.offersRuns(now) && a.book.Reserves(a.supervisor.Free())
+	return a.offersRuns(now) && a.book.HasDemandFor(a.supervisor.Free())
 }
 
 // recordLaunch records that an entry has launched tasks, for which it may have used an offer.
 func (a *Agent) recordLaunch(entry string) {
 	if a.book.Launched(entry) {
 		a.metrics.recordUsedOffer()
-		a.offers.used++
+		a.offerCounts.used++
 	}
 }
 
 // logOffers logs how many offers were made and used, at most every offerLogMS.
 func (a *Agent) logOffers(now clock.Millis) {
-	if a.offers.made == 0 || now-a.offers.loggedAt < offerLogMS {
+	if a.offerCounts.made == 0 || now-a.offerCounts.loggedAt < offerLogMS {
 		return
 	}
-	a.log.Info("capacity offered", "offers", a.offers.made, "used", a.offers.used, "waiting", a.book.Waiting(),
+	a.log.Info("capacity offered", "offers", a.offerCounts.made, "used", a.offerCounts.used, "waiting", a.book.Waiting(),
 		"free_milli_cpu", a.supervisor.Free().MilliCPU)
-	a.offers = offers{loggedAt: now}
+	a.offerCounts = offerCounts{loggedAt: now}
 }
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -136,7 +136,7 @@
 	supervisor *runs.Supervisor
 	// book decides which entry is offered free capacity.
 	book          *offer.Book
-	offers        offers
+	offerCounts   offerCounts
 	node          *link.Node
 	pauseDetector *clock.PauseDetector
 
--- a/internal/sched/cancel.go
+++ b/internal/sched/cancel.go
@@ -18,8 +18,8 @@
 	maxRememberedCancels = 20_000
 )
 
-// cancelRelay passes cancellations of jobs that other entries hold on to all entries: each
-// entry passes a cancellation that is new to it on to the entries that it is linked to.
+// cancelRelay collects the cancellations that are passed on to all entries, whether or not this
+// entry holds the job: each entry passes a cancellation that is new to it on to its linked entries.
 type cancelRelay struct {
 	// seenAt is when each remembered cancellation arrived; order lists them, oldest first.
 	seenAt map[jobs.ID]clock.Millis
--- a/internal/sched/cancelack.go
+++ b/internal/sched/cancelack.go
@@ -6,23 +6,25 @@
 // cancellation all the same: one of them may be cut off, or of a version that confirms nothing.
 const maxCancelAckMS clock.Millis = 500
 
-// unconfirmedCancel is a cancellation that its caller has not been told of yet. It is acknowledged
+// unconfirmedCancel is a cancellation that is not acknowledged to its caller yet. It is acknowledged
 // once all linked entries have handled it: this entry may end right after the acknowledgement, and
 // the others then pass the cancellation on to the entry that holds the job.
 type unconfirmedCancel struct {
+	// held is set if this entry held the job unanswered.
 	held   bool
 	answer chan<- bool
 	// sent is set once the cancellation was passed on to the linked entries.
 	sent bool
 	// awaits holds, by linked entry, the number of the frame with the cancellation.
-	awaits    map[string]uint64
+	awaits map[string]uint64
+	// expiresAt is when the cancellation is acknowledged at the latest.
 	expiresAt clock.Millis
 }
 
 // markCancelsSent records that the collected cancellations were passed on, and the frames that
 // have to be handled before they are acknowledged.
 func (e *Entry) markCancelsSent() {
-	for _, c := range e.unconfirmed {
+	for _, c := range e.unconfirmedCancels {
 		if c.sent {
 			continue
 		}
@@ -36,16 +38,16 @@
 // acknowledgeCancels acknowledges the cancellations that all linked entries have handled, and
 // those that have waited for maxCancelAckMS.
 func (e *Entry) acknowledgeCancels(now clock.Millis) {
-	remaining := e.unconfirmed[:0]
-	for _, c := range e.unconfirmed {
+	remaining := e.unconfirmedCancels[:0]
+	for _, c := range e.unconfirmedCancels {
 		if now < c.expiresAt && !(c.sent && e.confirmed(c)) {
 			remaining = append(remaining, c)
 			continue
 		}
 		c.answer <- c.held
 	}
-	clear(e.unconfirmed[len(remaining):])
-	e.unconfirmed = remaining
+	clear(e.unconfirmedCancels[len(remaining):])
+	e.unconfirmedCancels = remaining
 }
 
 // confirmed reports whether all entries that are still linked have handled a cancellation.
@@ -60,8 +62,8 @@
 
 // acknowledgeAllCancels acknowledges all cancellations, when the entry ends.
 func (e *Entry) acknowledgeAllCancels() {
-	for _, c := range e.unconfirmed {
+	for _, c := range e.unconfirmedCancels {
 		c.answer <- c.held
 	}
-	e.unconfirmed = nil
+	e.unconfirmedCancels = nil
 }
--- a/internal/sched/cancelled.go
+++ b/internal/sched/cancelled.go
@@ -25,7 +25,7 @@
 	return &cancelledJobs{at: map[jobs.ID]clock.Millis{}}
 }
 
-// add remembers a cancelled job from now on.
+// add remembers a cancelled job. It does not extend the time of a job that is remembered already.
 func (c *cancelledJobs) add(id jobs.ID, now clock.Millis) {
 	if _, known := c.at[id]; known || id == "" {
 		return
@@ -38,7 +38,7 @@
 	c.order = append(c.order, id)
 }
 
-// has reports whether a job was cancelled in the last cancelledMemoryMS.
+// has reports whether a job is remembered as cancelled.
 func (c *cancelledJobs) has(id jobs.ID, now clock.Millis) bool {
 	at, known := c.at[id]
 	return known && now-at <= cancelledMemoryMS
--- a/internal/sched/messages.go
+++ b/internal/sched/messages.go
@@ -150,7 +150,7 @@
 	}
 	e.cancelled.add(m.id, now)
 	e.cancels.add(m.id, "", now)
-	e.unconfirmed = append(e.unconfirmed, &unconfirmedCancel{held: held, answer: m.answer,
+	e.unconfirmedCancels = append(e.unconfirmedCancels, &unconfirmedCancel{held: held, answer: m.answer,
 		awaits: map[string]uint64{}, expiresAt: now + maxCancelAckMS})
 }
 
@@ -184,7 +184,8 @@
 	// workers in them.
 	DrainedZones   int
 	DrainedWorkers int
-	Reservations   place.ReservationCounts
+	// Reservations counts the reservations of capacity since the start.
+	Reservations place.ReservationCounts
 	// EntryLinks and AgentLinks count the links to other entries and to agents.
 	EntryLinks int
 	AgentLinks int
--- a/internal/sched/offers.go
+++ b/internal/sched/offers.go
@@ -10,8 +10,9 @@
 // noticeLogMS is the shortest interval between two log lines on notices.
 const noticeLogMS = 10 * clock.Second
 
-// notices counts the notices of waiting jobs since the last log line on them.
-type notices struct {
+// noticeCounts counts the notices to agents since the last log line on them: those that a job waits,
+// and those that none does any more.
+type noticeCounts struct {
 	waiting  int
 	none     int
 	loggedAt clock.Millis
@@ -26,9 +27,9 @@
 	for _, n := range e.announcer.Update(e.scheduler.Demand(now), now) {
 		e.metrics.recordNotice(n.Waiting)
 		if n.Waiting {
-			e.notices.waiting++
+			e.noticeCounts.waiting++
 		} else {
-			e.notices.none++
+			e.noticeCounts.none++
 		}
 		e.sendToAgent(n.Agent, noticeFrame(n, now))
 	}
@@ -37,13 +38,13 @@
 
 // logNotices logs how many notices were sent, at most every noticeLogMS.
 func (e *Entry) logNotices(now clock.Millis) {
-	n := &e.notices
+	n := &e.noticeCounts
 	if n.waiting+n.none == 0 || now-n.loggedAt < noticeLogMS {
 		return
 	}
 	jobsToPlace, workersWithFreeCPU := e.scheduler.Counts()
 	e.log.Info("agents told of waiting jobs", "notices", n.waiting, "ended", n.none, "waiting", jobsToPlace, "open", workersWithFreeCPU)
-	*n = notices{loggedAt: now}
+	*n = noticeCounts{loggedAt: now}
 }
 
 func noticeFrame(n offer.Notice, now clock.Millis) *wire.Frame {
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -164,13 +164,13 @@
 	log       *slog.Logger
 	scheduler *place.Scheduler
 	// announcer decides what agents are told of waiting jobs.
-	announcer *offer.Announcer
-	notices   notices
+	announcer    *offer.Announcer
+	noticeCounts noticeCounts
 	// terms are the terms in force, or nil before the first were received.
 	terms *contr.Terms
 	// termsSince is when terms came into force.
 	termsSince clock.Millis
-	// termsQueries wait for the first terms.
+	// termsQueries holds the queries that wait for the first terms.
 	termsQueries []termsQuery
 	// termsRequestedAt is when terms were last requested from a linked entry.
 	termsRequestedAt clock.Millis
@@ -209,10 +209,10 @@
 	selectedAt clock.Millis
 	// cancels passes cancellations on to the entries that are not linked.
 	cancels *cancelRelay
-	// unconfirmed holds the cancellations to be acknowledged, cancelled the jobs that were
-	// cancelled lately.
-	unconfirmed []*unconfirmedCancel
-	cancelled   *cancelledJobs
+	// unconfirmedCancels holds the cancellations that are not acknowledged to their callers yet.
+	unconfirmedCancels []*unconfirmedCancel
+	// cancelled remembers the jobs that were cancelled lately.
+	cancelled *cancelledJobs
 	// rosterChanged is set while the linked entries differ from those that the agents were
 	// told at rosterSentAt.
 	rosterChanged bool
@@ -259,11 +259,12 @@
 	termsSentVersion int64
 	termsSentAt      clock.Millis
 	unstartedJobs    map[string]int32
-	// cancelsSent and cancelsHandled count the frames with cancellations that this entry has sent
-	// to the other one and handled from it, cancelsConfirmed those sent that the other has handled.
+	// cancelsSent counts the CancelJob frames sent to the other entry, and cancelsConfirmed those of
+	// them that it has reported as handled.
 	cancelsSent      uint64
-	cancelsHandled   uint64
 	cancelsConfirmed uint64
+	// cancelsHandled counts the CancelJob frames from the other entry that were handled here.
+	cancelsHandled uint64
 }
 
 // New returns an entry. Call Open before Run.
