--- a/internal/runs/releases.go
+++ b/internal/runs/releases.go
@@ -15,9 +15,9 @@
 }
 
 const (
-	// nearlyFull is the fraction of the worker's processor capacity up to which the free capacity
-	// is so small that entries are told what will become free.
-	nearlyFull = 0.5
+	// maxFreeFraction is the largest fraction of the worker's processor capacity that may be free for
+	// predictions to be reported. With more free, large tasks find capacity without them.
+	maxFreeFraction = 0.5
 	// minRemaining is the fraction of its expected run time that a run is predicted to need at
 	// least: one that has passed its expected run time ends soon, but not now.
 	minRemaining = 0.25
@@ -31,7 +31,7 @@
 	largeMemoryMS clock.Millis = 30_000
 )
 
-// releaseTimes are the values of InMS. Runs that are predicted to end between two of them count as
+// releaseTimes are the possible values of InMS. Runs that are predicted to end between two of them count as
 // released at the later one. Later ends are left out, since no entry reserves so far ahead.
 var releaseTimes = [...]clock.Millis{20, 50, 100}
 
@@ -43,9 +43,10 @@
 }
 
 // Releases returns the capacity that is predicted to become free soon, in order of time. It returns
-// nothing unless the worker accepts runs, is nearly full and was lately sent a large task.
+// nothing unless the worker accepts runs, at least half of it is in use, and a large task was
+// requested in the last largeMemoryMS.
 func (s *Supervisor) Releases(now clock.Millis) []Release {
-	if now >= s.largeUntil || s.RefusesRuns() || s.stalled || float64(s.Free().MilliCPU) > nearlyFull*float64(s.Worker.Capacity.MilliCPU) {
+	if now >= s.largeUntil || s.RefusesRuns() || s.stalled || float64(s.Free().MilliCPU) > maxFreeFraction*float64(s.Worker.Capacity.MilliCPU) {
 		return nil
 	}
 	var sizes [len(releaseTimes)]jobs.Size
