--- a/internal/offer/announcer.go
+++ b/internal/offer/announcer.go
@@ -16,11 +16,11 @@
 	// noticesPerSecond bounds the cost of notices: at 30 us each they take 15 ms of processor time
 	// a second, a tenth of an entry with 0.144 of a core.
 	noticesPerSecond = 500
-	// maxAllowance is the number of notices that can be saved up: with 26 agents and 52 notices
-	// saved up, the second of a burst lacked notices, and 0.007 of the jobs missed their objective.
+	// maxAllowance is the number of notices that can be saved for a burst of load. With 52, for 26
+	// agents, notices ran out during bursts, and 0.007 of the jobs missed their objective.
 	maxAllowance = 250
-	// earlierMS and laterMS are the changes of the latest start that are told before renewMS.
-	// An agent that believes an earlier start than the present one offers to the wrong entry.
+	// A latest start that has become earlier by earlierMS, or later by laterMS, is sent without
+	// waiting for renewMS. An agent that assumes too early a start offers to the wrong entry.
 	earlierMS clock.Millis = 20
 	laterMS   clock.Millis = 100
 )
@@ -36,9 +36,9 @@
 
 // Announcer decides what an entry tells its agents about its waiting jobs.
 type Announcer struct {
-	// told holds the last demand that each agent was told, by its incarnation. An agent that was
-	// told that no job waits is not included.
-	told map[string]notified
+	// sent holds the last demand that was sent to each agent, by its incarnation. An agent whose
+	// last notice was that no job waits is not included.
+	sent map[string]sentDemand
 	// lastRoundAt is when notices were last returned.
 	lastRoundAt clock.Millis
 	// allowance is the number of notices that could be sent at allowanceAt.
@@ -46,15 +46,15 @@
 	allowanceAt clock.Millis
 }
 
-// notified is a demand and when an agent was told of it.
-type notified struct {
+// sentDemand is a demand and when it was sent to an agent.
+type sentDemand struct {
 	demand Demand
 	at     clock.Millis
 }
 
-// NewAnnouncer returns an announcer that has told nobody anything.
+// NewAnnouncer returns an announcer that has sent no notices.
 func NewAnnouncer() *Announcer {
-	return &Announcer{told: map[string]notified{}, lastRoundAt: -roundMS, allowance: maxAllowance}
+	return &Announcer{sent: map[string]sentDemand{}, lastRoundAt: -roundMS, allowance: maxAllowance}
 }
 
 // Due reports whether Update may return notices at now.
@@ -64,16 +64,16 @@
 
 // Update returns the notices that are due at now, ordered by agent. demand holds the demand for
 // each worker that a waiting job could use, by the incarnation of its agent. If the allowance does
-// not suffice, the agents that were told longest ago go first, and the others follow later.
+// not suffice, the agents with the oldest notice go first, and the others follow later.
 func (a *Announcer) Update(demand map[string]Demand, now clock.Millis) []Notice {
-	if len(demand) == 0 && len(a.told) == 0 || !a.Due(now) {
+	if len(demand) == 0 && len(a.sent) == 0 || !a.Due(now) {
 		return nil
 	}
 	notices := a.dueNotices(demand, now)
 	if len(notices) == 0 {
 		return nil
 	}
-	sort.Slice(notices, func(i, j int) bool { return a.toldBefore(notices[i].Agent, notices[j].Agent) })
+	sort.Slice(notices, func(i, j int) bool { return a.notifiedBefore(notices[i].Agent, notices[j].Agent) })
 	notices = notices[:min(len(notices), a.takeAllowance(len(notices), now))]
 	for _, n := range notices {
 		a.record(n, now)
@@ -83,21 +83,21 @@
 	return notices
 }
 
-// dueNotices returns a notice for each agent that has to be told of a demand, and for each that
-// believes that a job waits for its worker while none does. A demand that has expired is forgotten.
+// dueNotices returns a notice for each agent that has no notice of the present demand, and for each
+// that was sent a demand while none is left. A sent demand that has expired needs no notice.
 func (a *Announcer) dueNotices(demand map[string]Demand, now clock.Millis) []Notice {
 	var notices []Notice
 	for agent, d := range demand {
-		if told, known := a.told[agent]; !known || told.outdatedBy(d, now) {
+		if last, known := a.sent[agent]; !known || last.outdatedBy(d, now) {
 			notices = append(notices, Notice{Agent: agent, Waiting: true, Demand: d})
 		}
 	}
-	for agent, told := range a.told {
+	for agent, last := range a.sent {
 		_, waits := demand[agent]
 		switch {
 		case waits:
-		case now-told.at >= ExpiryMS:
-			delete(a.told, agent)
+		case now-last.at >= ExpiryMS:
+			delete(a.sent, agent)
 		default:
 			notices = append(notices, Notice{Agent: agent})
 		}
@@ -105,15 +105,16 @@
 	return notices
 }
 
-// toldBefore reports whether an agent was told earlier than another one, or not yet.
-func (a *Announcer) toldBefore(agent, other string) bool {
-	told, known := a.told[agent]
-	otherTold, otherKnown := a.told[other]
+// notifiedBefore reports whether the demand that was sent to an agent is older than that of another
+// one, or missing. Equal ones are ordered by agent.
+func (a *Announcer) notifiedBefore(agent, other string) bool {
+	last, known := a.sent[agent]
+	otherLast, otherKnown := a.sent[other]
 	switch {
 	case known != otherKnown:
 		return !known
-	case told.at != otherTold.at:
-		return told.at < otherTold.at
+	case last.at != otherLast.at:
+		return last.at < otherLast.at
 	default:
 		return agent < other
 	}
@@ -131,14 +132,14 @@
 // record stores a notice that is sent, for comparison with later demands.
 func (a *Announcer) record(n Notice, now clock.Millis) {
 	if n.Waiting {
-		a.told[n.Agent] = notified{demand: n.Demand, at: now}
+		a.sent[n.Agent] = sentDemand{demand: n.Demand, at: now}
 	} else {
-		delete(a.told, n.Agent)
+		delete(a.sent, n.Agent)
 	}
 }
 
-// outdatedBy reports whether an agent has to be told of d in place of the demand that it knows.
-func (n notified) outdatedBy(d Demand, now clock.Millis) bool {
-	change := d.LatestStart - n.demand.LatestStart
-	return now-n.at >= renewMS || d.Started != n.demand.Started || change <= -earlierMS || change >= laterMS
+// outdatedBy reports whether d has to be sent to the agent in place of l.
+func (l sentDemand) outdatedBy(d Demand, now clock.Millis) bool {
+	change := d.LatestStart - l.demand.LatestStart
+	return now-l.at >= renewMS || d.Started != l.demand.Started || change <= -earlierMS || change >= laterMS
 }
--- a/internal/place/ahead_test.go
+++ b/internal/place/ahead_test.go
@@ -133,21 +133,28 @@
 }
 
 // aheadGroups are the groups of jobs that are counted: all, by kind, and the largest tenth.
-var aheadGroups = []string{"all", "short", "long", "middle", "largest"}
+var aheadGroups = [...]string{"all", "short", "long", "middle", "largest"}
+
+// Positions in aheadGroups. The kinds follow each other from groupFirstKind on.
+const (
+	groupAll       = 0
+	groupFirstKind = 1
+	groupLargest   = 4
+)
 
 // aheadResult counts the jobs of some replays of a load.
 type aheadResult struct {
-	groups       [5]share
+	groups       [len(aheadGroups)]share
 	returned     int
 	reservations ReservationCounts
 }
 
 func (res *aheadResult) count(load []arrival, f *fleetReplay) {
 	for _, a := range load {
-		res.groups[0].add(a, f.answers[a.id])
-		res.groups[1+a.kind].add(a, f.answers[a.id])
+		res.groups[groupAll].add(a, f.answers[a.id])
+		res.groups[groupFirstKind+a.kind].add(a, f.answers[a.id])
 		if a.milliCPU == largeTaskCPU {
-			res.groups[4].add(a, f.answers[a.id])
+			res.groups[groupLargest].add(a, f.answers[a.id])
 		}
 	}
 	res.returned += f.returned
@@ -179,7 +186,7 @@
 	for i, group := range aheadGroups {
 		line += fmt.Sprintf(" | %s %s", group, &res.groups[i])
 	}
-	t.Logf("%s%s | returned %.2f | reservations %+v", name, line, float64(res.returned)/float64(res.groups[0].jobs), res.reservations)
+	t.Logf("%s%s | returned %.2f | reservations %+v", name, line, float64(res.returned)/float64(res.groups[groupAll].jobs), res.reservations)
 }
 
 // Guards against small tasks that keep taking the gaps which large ones wait for, and against
@@ -217,16 +224,16 @@
 	off.log(t, "off")
 	on.log(t, "on")
 	lost := func(g int) float64 { return off.groups[g].meanWorth() - on.groups[g].meanWorth() }
-	require.Less(t, lost(0), maxLoss)
+	require.Less(t, lost(groupAll), maxLoss)
 	if l.name == "calm" {
-		require.Less(t, lost(0), maxCalmLoss)
+		require.Less(t, lost(groupAll), maxCalmLoss)
 	}
-	require.Less(t, off.groups[0].worth/off.groups[0].work-on.groups[0].worth/on.groups[0].work, maxWorkLoss)
-	for group := 1; group < len(aheadGroups); group++ {
+	require.Less(t, off.groups[groupAll].worth/off.groups[groupAll].work-on.groups[groupAll].worth/on.groups[groupAll].work, maxWorkLoss)
+	for group := groupFirstKind; group < len(aheadGroups); group++ {
 		require.Less(t, lost(group), maxKindLoss, aheadGroups[group])
 	}
 	if entries > 1 && l.calm < 1 && l.burst == [3]float64{} {
-		require.Negative(t, lost(4), "the largest tenth gains while there is capacity")
+		require.Negative(t, lost(groupLargest), "the largest tenth gains while there is capacity")
 	}
 }
 
--- a/internal/place/reserve.go
+++ b/internal/place/reserve.go
@@ -33,7 +33,8 @@
 	// planIntervalMS is the shortest interval between two passes over the jobs that wait: schedule is
 	// called for each end of a run and each report.
 	planIntervalMS clock.Millis = 2
-	// holdMarginMS is how much longer than predicted a task is held.
+	// holdMarginMS is how much longer than predicted a task is held, beside the few milliseconds for
+	// which an agent queues any task.
 	holdMarginMS clock.Millis = 5
 )
 
