--- a/internal/place/waiting.go
+++ b/internal/place/waiting.go
@@ -8,13 +8,13 @@
 	"github.com/turmericbarrow/turmericbarrow/internal/offer"
 )
 
-// Limits of the demand that agents are told.
+// Limits of the demand that agents are notified of.
 const (
-	// minDemandWaitMS is how long a job has waited before agents are told of it. Jobs that wait
+	// minDemandWaitMS is how long a job has waited before agents are notified of it. Jobs that wait
 	// for less find capacity by the reports that arrive anyway.
 	minDemandWaitMS clock.Millis = 10
-	// agentsPerTask is the number of agents that are told of one waiting task. If all agents were
-	// told of the first job, all would offer to it, and the entry would use the rest for jobs that
+	// agentsPerTask is the number of agents that are notified of one waiting task. If all agents
+	// were notified of the first job, all would offer to it, and the entry would use the rest for jobs that
 	// go after those of other entries.
 	agentsPerTask = 2
 )
@@ -24,14 +24,14 @@
 	job   *Job
 	step  int
 	tasks int
-	// agents is the number of agents that are told of the step.
+	// agents is the number of agents that are to be notified of the step.
 	agents int
 }
 
 // Demand returns the demand for each worker that a waiting job could use, by the incarnation of
-// its agent. It is nil if no job has waited for minDemandWaitMS. Each waiting task is told to
-// agentsPerTask agents, in the order in which schedule places jobs; the agents that remain are
-// spread over the jobs.
+// its agent. It is nil if no job has waited for minDemandWaitMS. For each waiting task,
+// agentsPerTask agents get its demand, in the order in which schedule places jobs; the agents that
+// remain are spread over the jobs.
 func (s *Scheduler) Demand(now clock.Millis) map[string]offer.Demand {
 	waiting := s.waitingSteps(now)
 	if len(waiting) == 0 {
@@ -79,8 +79,9 @@
 	return out
 }
 
-// pickStep returns the first step that could use w and of which too few agents are told, else the
-// one of which the fewest agents are told for its tasks, or nil if none could use w.
+// pickStep returns the first step that could use w and has fewer than agentsPerTask agents for each
+// of its tasks. If there is none, it returns the step with the fewest agents for each task, or nil
+// if no step could use w.
 func (s *Scheduler) pickStep(waiting []*waitingStep, w *Worker, now clock.Millis) *waitingStep {
 	var best *waitingStep
 	for _, ws := range waiting {
