place: No job is refused for a drain right after a start

Found in review: an entry that had just started and was linked to agents of a drained zone only refused jobs as zones_drained when a set of drains arrived or a run was returned, although other agents were about to link.

Change: workers in drained zones refuse a job only once it no longer waits for the first workers.

Result: TestJobIsNotRefusedForADrainRightAfterAStart and the tests of place pass.

--- a/internal/place/drains.go
+++ b/internal/place/drains.go
@@ -14,16 +14,17 @@
 		w.ZoneDrained = d.Contains(w.Zone)
 	}
 	for _, j := range append([]*Job(nil), s.jobsToPlace...) {
-		if !j.Started && s.onlyInDrainedZones(j) {
+		if !j.Started && s.onlyInDrainedZones(j, now) {
 			s.finish(j, VerdictRefused, ReasonZonesDrained, now)
 		}
 	}
 	s.schedule(now)
 }
 
-// onlyInDrainedZones reports whether a step of j fits on workers in drained zones only.
-func (s *Scheduler) onlyInDrainedZones(j *Job) bool {
-	if len(s.drains.Zones) == 0 {
+// onlyInDrainedZones reports whether a step of j fits on workers in drained zones only. Workers that
+// are not known yet after a start of the entry may be in other zones.
+func (s *Scheduler) onlyInDrainedZones(j *Job, now clock.Millis) bool {
+	if len(s.drains.Zones) == 0 || s.awaitsWorkers(j, now) {
 		return false
 	}
 	for _, st := range j.Spec.Steps {
--- a/internal/place/events.go
+++ b/internal/place/events.go
@@ -167,7 +167,7 @@
 		s.finish(j, VerdictFailed, ReasonMaxAttempts, now)
 	case t.Run >= 1<<maxRunDoublings:
 		s.finish(j, VerdictUnknown, ReasonWorkerLost, now)
-	case !j.Started && s.onlyInDrainedZones(j):
+	case !j.Started && s.onlyInDrainedZones(j, now):
 		s.finish(j, VerdictRefused, ReasonZonesDrained, now)
 	default:
 		s.requeue(j)
--- a/internal/place/schedule.go
+++ b/internal/place/schedule.go
@@ -88,7 +88,7 @@
 		j.Answered = true
 		s.dequeue(j)
 		delete(s.Jobs, j.Spec.ID)
-		reason := s.unservedReason(j)
+		reason := s.unservedReason(j, now)
 		if reason == ReasonNone {
 			reason = ReasonOverload
 		}
--- a/internal/place/startup_test.go
+++ b/internal/place/startup_test.go
@@ -4,6 +4,8 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/turmericbarrow/turmericbarrow/internal/zone"
 )
 
 // An entry that had just started refused jobs until the first agents had linked, some 200 ms
@@ -45,3 +47,16 @@
 	s.Tick(s.Jobs["a"].ArrivedAt + LateFactor*s.Jobs["a"].Objective)
 	require.Equal(t, ReasonNeverFits, takeAnswers(s)[0].Reason)
 }
+
+// Workers of zones in use may link a moment later.
+func TestJobIsNotRefusedForADrainRightAfterAStart(t *testing.T) {
+	s := newScheduler(newWorker("w", 16, 1))
+	s.AwaitWorkersUntil = 1000
+	s.Submit(newSubmission("a", 1, 50), 100)
+	takeLaunches(s)
+	s.Submit(newSubmission("b", 40, 50), 100)
+	s.Submit(newSubmission("c", 1, 50), 100)
+	takeLaunches(s)
+	s.SetDrainedZones(zone.Drains{Revision: 1, Zones: []string{"z"}}, 110)
+	require.Empty(t, takeAnswers(s))
+}
--- a/internal/place/submit.go
+++ b/internal/place/submit.go
@@ -65,12 +65,12 @@
 	if now < s.AwaitWorkersUntil {
 		return ReasonNone
 	}
-	return s.unservedReason(j)
+	return s.unservedReason(j, now)
 }
 
 // unservedReason returns why no known worker can ever run a step of j as things stand, or
 // ReasonNone.
-func (s *Scheduler) unservedReason(j *Job) Reason {
+func (s *Scheduler) unservedReason(j *Job, now clock.Millis) Reason {
 	fleetKnown := false
 	for _, st := range j.Spec.Steps {
 		fits := false
@@ -85,7 +85,7 @@
 	if !fleetKnown {
 		return ReasonNoWorker
 	}
-	if s.onlyInDrainedZones(j) {
+	if s.onlyInDrainedZones(j, now) {
 		return ReasonZonesDrained
 	}
 	return ReasonNone
