sched: Cancellations at the end of a drain, repeated ones, and those on replaced links

Found in review, by tests that are now in cancel_test.go: an entry acknowledged a cancellation that arrived in the last 50 ms before its links closed, or later, and passed it on to nobody; a second cancellation of a job did not renew the memory of the first; the counter of a new link confirmed what was sent on the one before.

The two new tests were not run on the code before, whose answers have another type.

--- a/internal/sched/cancel_test.go
+++ b/internal/sched/cancel_test.go
@@ -70,7 +70,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		e := newTestEntry(t)
 		other, sent := linkFakeEntry(e, "o")
-		answer := make(chan bool, 1)
+		answer := make(chan CancelOutcome, 1)
 		cancelRequest{id: "a", answer: answer}.apply(e)
 		require.Empty(t, answer)
 		time.Sleep(cancelIntervalMS.Duration())
@@ -78,7 +78,7 @@
 		require.Equal(t, "a", sent()[0].GetCancelJob().GetJob())
 		require.Empty(t, answer, "the other entry may not have it yet")
 		e.onFrame(other.link, &wire.Frame{Body: &wire.Frame_Pulse{Pulse: &wire.Pulse{CancelsHandled: 1}}})
-		require.False(t, <-answer, "this entry does not hold the job")
+		require.Equal(t, CancelNotHeld, <-answer)
 	})
 }
 
@@ -86,7 +86,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		e := newTestEntry(t)
 		linkFakeEntry(e, "o")
-		answer := make(chan bool, 1)
+		answer := make(chan CancelOutcome, 1)
 		cancelRequest{id: "a", answer: answer}.apply(e)
 		time.Sleep(maxCancelAckMS.Duration())
 		e.acknowledgeCancels(e.clock.Now())
@@ -121,3 +121,28 @@
 	c.add("later", 2*cancelledMemoryMS)
 	require.Len(t, c.at, 1)
 }
+
+// A copy of a submission ran when the job had been cancelled twice and the first cancellation was
+// forgotten.
+func TestJobThatIsCancelledAgainIsRememberedFromThenOn(t *testing.T) {
+	c := newCancelledJobs()
+	c.add("a", 0)
+	c.add("a", cancelledMemoryMS)
+	c.add("b", cancelledMemoryMS+1)
+	require.True(t, c.has("a", 2*cancelledMemoryMS))
+}
+
+// A cancellation that arrived at the end of a drain was acknowledged and never passed on.
+func TestCancellationAtTheEndOfADrainIsPassedOnOrRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := newTestEntry(t)
+		_, sent := linkFakeEntry(e, "o")
+		early, late := make(chan CancelOutcome, 1), make(chan CancelOutcome, 1)
+		cancelRequest{id: "a", answer: early}.apply(e)
+		e.passOnLastCancels()
+		require.Equal(t, CancelNotHeld, <-early)
+		require.Equal(t, "a", sent()[0].GetCancelJob().GetJob())
+		e.refuse(cancelRequest{id: "b", answer: late})
+		require.Equal(t, CancelRefused, <-late)
+	})
+}
--- a/internal/sched/cancelack.go
+++ b/internal/sched/cancelack.go
@@ -12,15 +12,29 @@
 type unconfirmedCancel struct {
 	// held is set if this entry held the job unanswered.
 	held   bool
-	answer chan<- bool
+	answer chan<- CancelOutcome
 	// sent is set once the cancellation was passed on to the linked entries.
 	sent bool
-	// awaits holds, by linked entry, the number of the frame with the cancellation.
-	awaits map[string]uint64
+	// awaits holds, by the link to another entry, the number of the frame with the cancellation.
+	awaits map[*linkedEntry]uint64
 	// expiresAt is when the cancellation is acknowledged at the latest.
 	expiresAt clock.Millis
 }
 
+// CancelOutcome is the answer to a cancellation.
+type CancelOutcome int
+
+// The outcomes of a cancellation.
+const (
+	// CancelRefused: the cancellation has had no effect, and is to be repeated elsewhere.
+	CancelRefused CancelOutcome = iota
+	// CancelHeld: this entry held the job unanswered and has cancelled it.
+	CancelHeld
+	// CancelNotHeld: this entry did not hold the job unanswered. The linked entries have the
+	// cancellation.
+	CancelNotHeld
+)
+
 // markCancelsSent records that the collected cancellations were passed on, and the frames that
 // have to be handled before they are acknowledged.
 func (e *Entry) markCancelsSent() {
@@ -29,8 +43,8 @@
 			continue
 		}
 		c.sent = true
-		for incarnation, other := range e.linkedEntries {
-			c.awaits[incarnation] = other.cancelsSent
+		for _, other := range e.linkedEntries {
+			c.awaits[other] = other.cancelsSent
 		}
 	}
 }
@@ -44,7 +58,7 @@
 			remaining = append(remaining, c)
 			continue
 		}
-		c.answer <- c.held
+		c.answer <- c.outcome()
 	}
 	clear(e.unconfirmedCancels[len(remaining):])
 	e.unconfirmedCancels = remaining
@@ -52,18 +66,38 @@
 
 // confirmed reports whether all entries that are still linked have handled a cancellation.
 func (e *Entry) confirmed(c *unconfirmedCancel) bool {
-	for incarnation, frame := range c.awaits {
-		if other := e.linkedEntries[incarnation]; other != nil && other.cancelsConfirmed < frame {
+	for other, frame := range c.awaits {
+		if e.linkedEntries[other.link.Peer.Incarnation] == other && other.cancelsConfirmed < frame {
 			return false
 		}
 	}
 	return true
 }
 
-// acknowledgeAllCancels acknowledges all cancellations, when the entry ends.
-func (e *Entry) acknowledgeAllCancels() {
+// outcome returns the answer to the caller of an acknowledged cancellation.
+func (c *unconfirmedCancel) outcome() CancelOutcome {
+	if c.held {
+		return CancelHeld
+	}
+	return CancelNotHeld
+}
+
+// passOnLastCancels passes the collected cancellations on before the links close, and acknowledges
+// them: the links end once their frames have arrived.
+func (e *Entry) passOnLastCancels() {
+	e.cancels.sentAt = 0
+	e.sendCancels(e.clock.Now())
+	for _, c := range e.unconfirmedCancels {
+		c.answer <- c.outcome()
+	}
+	e.unconfirmedCancels = nil
+}
+
+// refuseCancels refuses the cancellations that arrive once the links are closed: nobody would
+// learn of them.
+func (e *Entry) refuseCancels() {
 	for _, c := range e.unconfirmedCancels {
-		c.answer <- c.held
+		c.answer <- CancelRefused
 	}
 	e.unconfirmedCancels = nil
 }
--- a/internal/sched/cancelled.go
+++ b/internal/sched/cancelled.go
@@ -17,25 +17,41 @@
 // cancelledJobs remembers the jobs that were cancelled, at this entry or any other, so that a late
 // copy of a submission does not start a cancelled job again.
 type cancelledJobs struct {
-	at    map[jobs.ID]clock.Millis
-	order []jobs.ID
+	// at is when each remembered job was last cancelled.
+	at map[jobs.ID]clock.Millis
+	// order lists the cancellations, oldest first. A job that was cancelled again is in it more
+	// than once.
+	order []cancelledJob
+}
+
+type cancelledJob struct {
+	id jobs.ID
+	at clock.Millis
 }
 
 func newCancelledJobs() *cancelledJobs {
 	return &cancelledJobs{at: map[jobs.ID]clock.Millis{}}
 }
 
-// add remembers a cancelled job. It does not extend the time of a job that is remembered already.
+// add remembers a cancelled job from now on.
 func (c *cancelledJobs) add(id jobs.ID, now clock.Millis) {
-	if _, known := c.at[id]; known || id == "" {
+	if id == "" {
 		return
 	}
-	for len(c.order) > 0 && (len(c.order) >= maxCancelledJobs || now-c.at[c.order[0]] > cancelledMemoryMS) {
-		delete(c.at, c.order[0])
-		c.order = c.order[1:]
+	for len(c.order) > 0 && (len(c.order) >= maxCancelledJobs || now-c.order[0].at > cancelledMemoryMS) {
+		c.forgetOldest()
 	}
 	c.at[id] = now
-	c.order = append(c.order, id)
+	c.order = append(c.order, cancelledJob{id: id, at: now})
+}
+
+// forgetOldest drops the oldest cancellation, and its job unless that was cancelled again.
+func (c *cancelledJobs) forgetOldest() {
+	oldest := c.order[0]
+	c.order = c.order[1:]
+	if c.at[oldest.id] == oldest.at {
+		delete(c.at, oldest.id)
+	}
 }
 
 // has reports whether a job is remembered as cancelled.
--- a/internal/sched/messages.go
+++ b/internal/sched/messages.go
@@ -39,7 +39,7 @@
 
 type cancelRequest struct {
 	id     jobs.ID
-	answer chan<- bool
+	answer chan<- CancelOutcome
 }
 
 type unstartedJobsQuery struct {
@@ -151,7 +151,7 @@
 	e.cancelled.add(m.id, now)
 	e.cancels.add(m.id, "", now)
 	e.unconfirmedCancels = append(e.unconfirmedCancels, &unconfirmedCancel{held: held, answer: m.answer,
-		awaits: map[string]uint64{}, expiresAt: now + maxCancelAckMS})
+		awaits: map[*linkedEntry]uint64{}, expiresAt: now + maxCancelAckMS})
 }
 
 func (m unstartedJobsQuery) apply(e *Entry) {
@@ -243,9 +243,9 @@
 }
 
 // Cancel cancels a job, and passes the cancellation on to all entries. It returns once the linked
-// entries have it, and reports whether this entry held the job unanswered.
-func (e *Entry) Cancel(ctx context.Context, id jobs.ID) bool {
-	return query(ctx, e, func(c chan bool) message { return cancelRequest{id: id, answer: c} })
+// entries have it, or CancelRefused if the entry or ctx ends first.
+func (e *Entry) Cancel(ctx context.Context, id jobs.ID) CancelOutcome {
+	return query(ctx, e, func(c chan CancelOutcome) message { return cancelRequest{id: id, answer: c} })
 }
 
 // UnstartedJobs returns the number of a queue's unstarted jobs at all entries. The other
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -346,7 +346,7 @@
 		e.replyTo(id, Reply{Verdict: place.VerdictUnknown, Reason: place.ReasonDraining})
 	}
 	e.answerTermsQueries()
-	e.acknowledgeAllCancels()
+	e.refuseCancels()
 	for running := entryGoroutines; running > 0 || e.storeCalls > 0; {
 		select {
 		case <-done:
@@ -384,7 +384,7 @@
 	e.scheduler.Draining = true
 	m.apply(e)
 	e.answerTermsQueries()
-	e.acknowledgeAllCancels()
+	e.refuseCancels()
 	e.performActions()
 }
 
@@ -575,6 +575,7 @@
 	e.log.Info("drained", "jobs", len(e.scheduler.Jobs))
 	e.scheduler.AbandonAll(e.clock.Now())
 	e.performActions()
+	e.passOnLastCancels()
 	for _, other := range e.linkedEntries {
 		other.link.Shutdown()
 	}
