admit, serve: One job for each file, and one rule for an exceeded budget

The two conditions in admit that decide whether the budget is exceeded are one function. The unused reason Admitted is removed.

--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -15,9 +15,8 @@
 // Reason is why connections were refused or shed. It is a label of a metric.
 type Reason string
 
-// The reasons. Admitted is the zero value.
+// The reasons.
 const (
-	Admitted Reason = ""
 	// Connections: the process has as many connections as it may have.
 	Connections Reason = "connections"
 	// AddressConnections: the client's address has as many connections as it may have.
@@ -42,10 +41,10 @@
 	headerLineBytes = 160
 	// bodyFactor is the cost of a byte of a body, which is collected in growing buffers.
 	bodyFactor = 2
-	// grantBytes is the unit in which bytes are acquired, so that an ordinary request
-	// acquires once.
+	// grantBytes is the unit in which bytes are acquired. A request with a body of 2 KB acquires
+	// once.
 	grantBytes = 8 << 10
-	// smallBytes is the largest cost of a request that may use the reserve.
+	// smallBytes is the largest cost of a request that may exceed the budget.
 	smallBytes = 32 << 10
 )
 
@@ -53,14 +52,17 @@
 // may have thousands of tasks.
 const TaskBytes = 160
 
+// unlimitedBytes exceeds every budget. Half of the largest value leaves room to add to it.
+const unlimitedBytes = math.MaxInt64 / 2
+
 // Parts of the budget, as divisors.
 const (
 	// reserveDivisor: small requests may exceed the budget by this part.
 	reserveDivisor = 8
-	// reliefDivisor: shedding frees this part of the budget, so that it is rare.
-	reliefDivisor = 8
-	// closingDivisor: connections that were shed and are not closed yet may exceed the
-	// budget by this part.
+	// headroomDivisor: shedding stops once this part of the budget is free, so that it is rare.
+	headroomDivisor = 8
+	// closingDivisor: together with the connections that were shed and are not closed yet, all
+	// connections may exceed their limit by this part of the budget.
 	closingDivisor = 4
 )
 
@@ -90,8 +92,9 @@
 	// Shed is set once the connection was shed. Its owner closes it and then calls Close.
 	Shed bool
 
-	// index is the position among the connections of the control, or -1 if it has left them.
-	index  int
+	// index is the position in Control.conns, or -1 once the connection was removed from it.
+	index int
+	// closed is set once Close was called.
 	closed bool
 }
 
@@ -105,7 +108,9 @@
 	// Refused counts the connections that were refused or shed, by reason.
 	Refused map[Reason]uint64
 
-	conns      []*Conn
+	// conns holds the connections that are neither shed nor closed, in no order.
+	conns []*Conn
+	// byAddress and byListener count these connections.
 	byAddress  map[netip.Addr]int
 	byListener map[string]int
 }
@@ -120,8 +125,8 @@
 	return len(c.conns)
 }
 
-// Open admits a new connection, or returns nil. The caller closes the shed connections, which
-// may include the new one.
+// Open admits a new connection, or returns nil. It also returns the connections that it shed, which
+// may include the new one; the caller closes them.
 func (c *Control) Open(listener string, address netip.Addr, now clock.Millis) (*Conn, []*Conn) {
 	var shed []*Conn
 	reserved := c.byListener[listener] < c.Settings.ReservedConnections
@@ -148,7 +153,7 @@
 	c.byAddress[address]++
 	c.byListener[listener]++
 	c.Bytes += connectionBytes
-	return n, append(shed, c.relieve(n, now)...)
+	return n, append(shed, c.enforceBudget(n, now)...)
 }
 
 // oldest returns the connection that has been idle or unfinished for longest among those that
@@ -186,7 +191,7 @@
 	granted := (cost + grantBytes - 1) / grantBytes * grantBytes
 	n.Bytes += granted
 	c.Bytes += granted
-	shed := c.relieve(n, now)
+	shed := c.enforceBudget(n, now)
 	if n.Shed {
 		return 0, shed
 	}
@@ -207,44 +212,49 @@
 	return 0, shed
 }
 
-// limitFor returns the bytes up to which a connection may acquire more. Small requests on the
-// reserved connections of a listener, such as probes, have no limit: there are few of them.
+// limitFor returns the limit on the bytes of all connections up to which n may acquire more. Small
+// requests on the reserved connections of a listener, such as probes, have no limit: there are few
+// of them.
 func (c *Control) limitFor(n *Conn) int64 {
 	switch {
 	case n.Bytes > smallBytes:
 		return c.Settings.Bytes
 	case c.byListener[n.Listener] <= c.Settings.ReservedConnections:
-		return math.MaxInt64 / 2
+		return unlimitedBytes
 	default:
 		return c.Settings.Bytes + c.Settings.Bytes/reserveDivisor
 	}
 }
 
-// relieve sheds connections if the budget is exceeded. n is the connection that has just
-// acquired bytes; it is shed as well if nothing else helps and it is not small.
-func (c *Control) relieve(n *Conn, now clock.Millis) []*Conn {
+// exceeds reports whether the connections exceed a limit in bytes, or exceed it by more than is
+// allowed together with those that are being closed.
+func (c *Control) exceeds(limit int64) bool {
+	return c.Bytes > limit || c.Bytes+c.Closing > limit+c.Settings.Bytes/closingDivisor
+}
+
+// enforceBudget sheds connections if the budget is exceeded, and returns them. n is the connection
+// that has just acquired bytes; it is shed as well if nothing else helps and it is not small.
+func (c *Control) enforceBudget(n *Conn, now clock.Millis) []*Conn {
 	budget := c.Settings.Bytes
-	if c.Bytes <= budget && c.Bytes+c.Closing <= budget+budget/closingDivisor {
+	if !c.exceeds(budget) {
 		return nil
 	}
 	var shed []*Conn
 	for _, victim := range c.victims(n, now) {
-		if c.Bytes <= budget-budget/reliefDivisor {
+		if c.Bytes <= budget-budget/headroomDivisor {
 			break
 		}
 		shed = append(shed, c.shed(victim, Memory))
 	}
-	limit := c.limitFor(n)
-	over := c.Bytes > limit || c.Bytes+c.Closing > limit+budget/closingDivisor
-	if over && !n.Shed && n.Phase != PhaseComplete {
+	if c.exceeds(c.limitFor(n)) && !n.Shed && n.Phase != PhaseComplete {
 		shed = append(shed, c.shed(n, Memory))
 	}
 	return shed
 }
 
-// victims returns the connections that may be shed for memory, the first one first: unfinished
-// requests by size and age, and then idle connections by age. A small connection that has just
-// acquired bytes is not among them.
+// victims returns the connections that may be shed for memory, in the order in which they are shed:
+// unfinished requests by size and age, and then idle connections by age. n, which has just acquired
+// bytes, is not among them if its request is small.
 func (c *Control) victims(n *Conn, now clock.Millis) []*Conn {
 	var out []*Conn
 	for _, o := range c.conns {
@@ -253,14 +263,15 @@
 		}
 	}
 	slices.SortFunc(out, func(a, b *Conn) int {
-		return cmp.Compare(b.weight(now), a.weight(now))
+		return cmp.Compare(b.shedWeight(now), a.shedWeight(now))
 	})
 	return out
 }
 
-// weight is large for unfinished requests that are large and slow. Idle connections are below
-// all unfinished requests, and the longest idle is the highest of them.
-func (n *Conn) weight(now clock.Millis) float64 {
+// shedWeight orders connections: the one with the highest weight is shed first. It is the product of
+// size and age for unfinished requests, and negative for idle connections, highest for the one that
+// has been idle for longest.
+func (n *Conn) shedWeight(now clock.Millis) float64 {
 	age := float64(max(now-n.Since, 0)) + 1
 	if n.Phase == PhaseIdle {
 		return -1 / age
@@ -299,7 +310,7 @@
 
 // shed marks a connection as shed. Its memory counts as closing until Close.
 func (c *Control) shed(n *Conn, reason Reason) *Conn {
-	c.leave(n)
+	c.remove(n)
 	n.Shed = true
 	c.Closing += n.Bytes + connectionBytes
 	c.Refused[reason]++
@@ -316,11 +327,11 @@
 		c.Closing -= n.Bytes + connectionBytes
 		return
 	}
-	c.leave(n)
+	c.remove(n)
 }
 
-// leave removes a connection from all counts.
-func (c *Control) leave(n *Conn) {
+// remove removes a connection from conns and from the counts.
+func (c *Control) remove(n *Conn) {
 	last := c.conns[len(c.conns)-1]
 	c.conns[n.index], last.index = last, n.index
 	c.conns[len(c.conns)-1] = nil
--- a/internal/admit/settings.go
+++ b/internal/admit/settings.go
@@ -8,15 +8,15 @@
 type Settings struct {
 	// Bytes is the memory that connections and their unanswered requests may take.
 	Bytes int64
-	// Connections is the number of connections to all listeners.
+	// Connections is the number of connections to all listeners together.
 	Connections int
 	// ConnectionsPerAddress is the number of connections from one address. Callers behind a
 	// balancer share one.
 	ConnectionsPerAddress int
-	// ReservedConnections is how many connections each listener may have, for small requests,
-	// although the process or the client's address has reached another limit.
+	// ReservedConnections is the number of connections to each listener that are admitted beyond
+	// Connections and ConnectionsPerAddress, and whose small requests may exceed Bytes.
 	ReservedConnections int
-	// HeaderLines is the number of header lines of a request.
+	// HeaderLines is the number of header lines of one request.
 	HeaderLines int
 	// BodyTimeout is the time in which a request must arrive whole.
 	BodyTimeout clock.Millis
--- a/internal/serve/client.go
+++ b/internal/serve/client.go
@@ -11,6 +11,7 @@
 // connKey is the context key of the connection of a request.
 type connKey struct{}
 
+// withConn adds a connection to the context of its requests.
 func withConn(ctx context.Context, c net.Conn) context.Context {
 	return context.WithValue(ctx, connKey{}, c)
 }
--- a/internal/serve/conn.go
+++ b/internal/serve/conn.go
@@ -1,7 +1,6 @@
 package serve
 
 import (
-	"io"
 	"net"
 	"net/http"
 	"os"
@@ -38,16 +37,16 @@
 	}
 }
 
-// conn is a connection that acquires the bytes which it reads. Its fields are used by the
-// goroutine that serves the connection, and by the server's background read, which never runs
-// at the same time.
+// conn is a connection that acquires the bytes that it reads. Its fields are used by the goroutine
+// that serves the connection and by the server's background read, but never at the same time.
 type conn struct {
 	net.Conn
 	gate   *Gate
 	client *admit.Conn
-	// credit is what was acquired and is not used.
+	// credit is the part of the acquired bytes that is not used yet.
 	credit int64
-	// inHeaders is set from the end of a request until the headers of the next one are read.
+	// inHeaders is set from the end of a request until the server has read the headers of the
+	// next one.
 	inHeaders bool
 	// head is what has arrived of the current headers.
 	head head
@@ -56,7 +55,7 @@
 	complete bool
 }
 
-// Read reads and acquires what was read. It fails once the connection was shed.
+// Read reads bytes and acquires their cost. It fails once the connection was shed.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if n > 0 && !c.received(p[:n]) {
@@ -82,6 +81,8 @@
 	return c.spend(admit.HeaderCost(length, lines) + admit.BodyCost(len(p)-length))
 }
 
+// spend takes a cost from the credit, and acquires more if that does not suffice. It reports false
+// if the connection was shed.
 func (c *conn) spend(cost int64) bool {
 	if c.credit < cost {
 		granted := c.gate.acquire(c.client, cost-c.credit)
@@ -114,7 +115,7 @@
 	return c.Conn.Close()
 }
 
-// stateChanged follows the requests on a connection. The server calls it.
+// stateChanged records where a request begins and ends on a connection. The server calls it.
 func stateChanged(nc net.Conn, state http.ConnState) {
 	c, ok := nc.(*conn)
 	if !ok {
@@ -123,7 +124,8 @@
 	switch state {
 	case http.StateActive:
 		c.inHeaders = false
-		// The headers may have arrived together with the request before.
+		// If the headers arrived together with the previous request, nothing was acquired for
+		// this one yet.
 		c.spend(1)
 	case http.StateIdle:
 		c.gate.finish(c.client)
@@ -139,55 +141,3 @@
 	}
 	return c.complete
 }
-
-// extensionBytes is the smallest cost that Extend acquires. The bytes of an ordinary request
-// include less.
-const extensionBytes = 8 << 10
-
-// Extend acquires further bytes for a decoded request. If it reports false, the process has no
-// memory for the request, which must then be refused as not run.
-func Extend(r *http.Request, cost int64) bool {
-	c, ok := r.Context().Value(connKey{}).(*conn)
-	return !ok || cost < extensionBytes || c.gate.extend(c.client, cost)
-}
-
-// body is the body of a request.
-type body struct {
-	io.ReadCloser
-	conn *conn
-}
-
-// Read reads from the body and records its end.
-func (b *body) Read(p []byte) (int, error) {
-	n, err := b.ReadCloser.Read(p)
-	switch {
-	case err == nil:
-	case err == io.EOF:
-		if !b.conn.arrived() {
-			return n, errShed
-		}
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		b.conn.gate.refuse(b.conn.client, admit.SlowBody)
-	}
-	return n, err
-}
-
-// recordArrival returns a handler that records when each request has arrived whole.
-func recordArrival(h http.Handler) http.Handler {
-	return http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
-		c, ok := r.Context().Value(connKey{}).(*conn)
-		if !ok {
-			h.ServeHTTP(rw, r)
-			return
-		}
-		if r.Body == http.NoBody {
-			c.arrived()
-			h.ServeHTTP(rw, r)
-			return
-		}
-		// The server keeps using its own request, so this one is a copy.
-		copied := *r
-		copied.Body = &body{ReadCloser: r.Body, conn: c}
-		h.ServeHTTP(rw, &copied)
-	})
-}
--- a/internal/serve/flags.go
+++ b/internal/serve/flags.go
@@ -13,21 +13,27 @@
 
 // Bounds of the flags.
 const (
-	maxMemoryMB          = 1 << 20
-	maxDescriptors       = 1 << 30
-	minClientMB          = 8
-	minConnections       = 64
-	minHeaderLines       = 32
-	minBodyTimeoutMS     = 1000
-	maxBodyTimeoutMS     = 600_000
-	derived              = "0 for the value that follows from --memory-mb and --max-descriptors"
-	memoryLimitNumerator = 3
-	// memoryLimitDenominator leaves a quarter of the memory for the binary, the sockets'
-	// buffers in the kernel and what the collector has not returned yet.
+	maxMemoryMB      = 1 << 20
+	maxDescriptors   = 1 << 30
+	minClientMB      = 8
+	minConnections   = 64
+	minHeaderLines   = 32
+	minBodyTimeoutMS = 1000
+	maxBodyTimeoutMS = 600_000
+)
+
+// The soft memory limit is this part of the host's memory. The rest is for the binary, the sockets'
+// buffers in the kernel and what the collector has not returned yet.
+const (
+	memoryLimitNumerator   = 3
 	memoryLimitDenominator = 4
 )
 
-// ClientFlags are the flags that limit the clients of a process. Zero values are derived.
+// derivedUsage ends the usage texts of the flags whose zero value is derived.
+const derivedUsage = "0 for the value that follows from --memory-mb and --max-descriptors"
+
+// ClientFlags are the flags that limit the clients of a process. admit.Defaults derives the limits
+// whose flag is zero.
 type ClientFlags struct {
 	// AssumedMemoryMB is the memory from which the limits follow if MemoryMB is zero. If both
 	// are zero, they follow from the memory of the smallest host.
@@ -46,9 +52,9 @@
 func (c *ClientFlags) Add(f *pflag.FlagSet) {
 	f.Float64Var(&c.MemoryMB, "memory-mb", 0, "memory of this host in MB; 0 if it is not known")
 	f.IntVar(&c.Descriptors, "max-descriptors", 0, "descriptors that the process may open; 0 if it is not known")
-	f.IntVar(&c.ClientMB, "max-client-mb", 0, "memory in MB for connections and unanswered requests; "+derived)
-	f.IntVar(&c.Connections, "max-connections", 0, "connections of clients; "+derived)
-	f.IntVar(&c.ConnectionsPerAddress, "max-connections-per-address", 0, "connections of clients from one address; "+derived)
+	f.IntVar(&c.ClientMB, "max-client-mb", 0, "memory in MB for connections and unanswered requests; "+derivedUsage)
+	f.IntVar(&c.Connections, "max-connections", 0, "connections of clients; "+derivedUsage)
+	f.IntVar(&c.ConnectionsPerAddress, "max-connections-per-address", 0, "connections of clients from one address; "+derivedUsage)
 	f.IntVar(&c.HeaderLines, "max-header-lines", 0, "header lines of a request; 0 for as many as its bytes can hold")
 	f.Int64Var(&c.BodyTimeoutMS, "body-timeout-ms", 0, "time in which a request must arrive whole, in milliseconds; 0 for 15000")
 }
--- a/internal/serve/gate.go
+++ b/internal/serve/gate.go
@@ -1,7 +1,6 @@
 package serve
 
 import (
-	"context"
 	"fmt"
 	"io"
 	"log/slog"
@@ -17,10 +16,6 @@
 // refusalLogInterval is the minimum time between two log lines about one reason.
 const refusalLogInterval = 10 * clock.Second
 
-// smallBodyBytes is the largest body that is decoded without waiting. Callers send bodies of
-// 1 to 6 KB.
-const smallBodyBytes = 32 << 10
-
 // Clock returns the current time.
 type Clock interface {
 	Now() clock.Millis
@@ -31,17 +26,21 @@
 	settings admit.Settings
 	clock    Clock
 	log      *slog.Logger
-	// state always holds one value, which a goroutine takes out to use it. Admission costs an
-	// ordinary request three short uses, and no switch to another goroutine.
+	// state holds one value. A goroutine receives it, uses it and sends it back. An ordinary
+	// request on a connection that is kept does so three times, without a switch to another
+	// goroutine.
 	state chan *gateState
-	// decoding holds a value while a large body is decoded.
+	// decoding holds a value while a large body is decoded. Its buffer has room for one.
 	decoding chan struct{}
 }
 
+// gateState is what the goroutines of all connections share through Gate.state.
 type gateState struct {
 	control *admit.Control
+	// sockets holds the sockets of all connections that are not closed.
 	sockets map[*admit.Conn]net.Conn
-	// reported holds, by reason, how many refusals have been logged, and loggedAt when.
+	// reported holds, by reason, how many refusals the log lines have counted, and loggedAt the
+	// time of the last log line.
 	reported map[admit.Reason]uint64
 	loggedAt map[admit.Reason]clock.Millis
 }
@@ -79,6 +78,8 @@
 	return c
 }
 
+// addressOf returns the IP address of a connection's client. It is the zero value for a connection
+// that is not TCP.
 func addressOf(c net.Conn) netip.Addr {
 	if a, ok := c.RemoteAddr().(*net.TCPAddr); ok {
 		return a.AddrPort().Addr().Unmap()
@@ -86,7 +87,8 @@
 	return netip.Addr{}
 }
 
-// release puts the state back, closes the connections that were shed, and logs.
+// release sends the state back and closes the connections that were shed. It logs refusals if
+// there were any.
 func (g *Gate) release(st *gateState, shed []*admit.Conn, refused bool) {
 	var victims []net.Conn
 	for _, v := range shed {
@@ -138,6 +140,8 @@
 	return granted > 0
 }
 
+// complete records that the current request has arrived whole. It reports false if the connection
+// was shed before.
 func (g *Gate) complete(c *admit.Conn) bool {
 	st := <-g.state
 	ok := st.control.Complete(c)
@@ -145,18 +149,21 @@
 	return ok
 }
 
+// finish releases what the current request has acquired.
 func (g *Gate) finish(c *admit.Conn) {
 	st := <-g.state
 	st.control.Finish(c, g.clock.Now())
 	g.state <- st
 }
 
+// refuse sheds a connection for a reason that its owner found. The owner closes it.
 func (g *Gate) refuse(c *admit.Conn, reason admit.Reason) {
 	st := <-g.state
 	refused := st.control.Refuse(c, reason)
 	g.release(st, nil, refused)
 }
 
+// close releases all that a connection has acquired.
 func (g *Gate) close(c *admit.Conn) {
 	st := <-g.state
 	st.control.Close(c)
@@ -164,24 +171,6 @@
 	g.state <- st
 }
 
-// Decode calls f, which decodes a body of the given size. Large bodies are decoded one at a
-// time, because a decoded body may take many times its size. Decode returns the error of ctx if
-// that ends before f is called.
-func (g *Gate) Decode(ctx context.Context, size int, f func()) error {
-	if size <= smallBodyBytes {
-		f()
-		return nil
-	}
-	select {
-	case g.decoding <- struct{}{}:
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-	defer func() { <-g.decoding }()
-	f()
-	return nil
-}
-
 // WriteMetrics writes the metrics of the admission control in the Prometheus text format.
 func (g *Gate) WriteMetrics(w io.Writer) {
 	set := metrics.NewSet()
--- a/internal/serve/head.go
+++ b/internal/serve/head.go
@@ -32,12 +32,14 @@
 	return length, h.lines - before
 }
 
+// continueLine adds a part of the current line, without its line feed.
 func (h *head) continueLine(p []byte) {
 	if len(p) > 1 || len(p) == 1 && p[0] != '\r' {
 		h.started = true
 	}
 }
 
+// endLine ends the current line.
 func (h *head) endLine() {
 	if !h.started && h.lines > 0 {
 		h.ended = true
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -1,5 +1,5 @@
-// Package serve provides an HTTP server with the limits and the shutdown that all HTTP
-// interfaces of the system share.
+// Package serve provides an HTTP server with the limits, the admission control and the shutdown
+// that all HTTP interfaces of the system share.
 package serve
 
 import (
@@ -51,7 +51,7 @@
 	return l.Addr().String(), nil
 }
 
-// Decode is Gate.Decode of the gate of the process.
+// Decode calls Gate.Decode of the gate of the process.
 func (s *Server) Decode(ctx context.Context, size int, f func()) error {
 	return s.gate.Decode(ctx, size, f)
 }
