--- a/internal/agent/drains.go
+++ b/internal/agent/drains.go
@@ -1,7 +1,7 @@
 package agent
 
 // applyDrain applies the drained zones of the configuration in force to this agent's upstream. The
-// agent is the last to enforce a drain, since some entries may learn of it later.
+// agent enforces a drain as well as the entries, because some of them may learn of it later.
 func (a *Agent) applyDrain() {
 	zone := a.settings.Self.Location.Zone
 	drained := a.config.Drains.Contains(zone)
--- a/internal/agent/web.go
+++ b/internal/agent/web.go
@@ -235,6 +235,7 @@
 	set.WritePrometheus(w)
 }
 
+// boolGauge returns the value of a gauge for a condition.
 func boolGauge(b bool) float64 {
 	if b {
 		return 1
--- a/internal/disp/agents.go
+++ b/internal/disp/agents.go
@@ -198,6 +198,7 @@
 // for an attempt that has already ended, does not affect any submission.
 func (d *Dispatcher) HandleOutcome(agent string, id MessageID, o Outcome, now clock.Millis) {
 	d.Counters.Messages++
+	// An upstream that is leaving already keeps its reason, which may be a drain.
 	if u := d.Fleet.Get(agent); o.Leaving && u != nil && u.Health != route.HealthLeaving {
 		d.Fleet.SetLeaving(agent, true, "the upstream is leaving")
 	}
--- a/internal/disp/drains.go
+++ b/internal/disp/drains.go
@@ -16,8 +16,8 @@
 	return n
 }
 
-// servedOnlyInDrainedZones reports whether all upstreams that serve a kind are in drained zones, and
-// there is at least one. Upstreams whose agents may reconnect soon count.
+// servedOnlyInDrainedZones reports whether at least one upstream serves a kind and all that do are in
+// drained zones. It reports false while the agent of an upstream of the kind may reconnect soon.
 func (d *Dispatcher) servedOnlyInDrainedZones(kind string, now clock.Millis) bool {
 	if len(d.Config.Drains.Zones) == 0 || d.reconnectingSlots(kind, now) > 0 {
 		return false
@@ -37,20 +37,20 @@
 
 // drainedZonesProblem returns the problem of a submission whose upstreams are all in drained
 // zones.
-func (d *Dispatcher) drainedZonesProblem(kind string) *reply.Problem {
+func drainedZonesProblem(kind string) *reply.Problem {
 	return &reply.Problem{Type: reply.TypeNoUpstream, RetryAfter: noUpstreamRetryMS,
 		Detail: "all upstreams that serve kind " + kind + " are in drained zones"}
 }
 
-// refuseInDrainedZones ends the submissions that have not started and whose upstreams are all in
-// drained zones: a drain lasts longer than any of them may wait.
+// refuseInDrainedZones answers the submissions that have not started and whose upstreams are all in
+// drained zones. A drain usually lasts longer than they may wait.
 func (d *Dispatcher) refuseInDrainedZones(now clock.Millis) {
 	for _, ex := range d.executions {
 		kind := ex.submission.Kind
 		if ex.ran() != reply.RanNo || !d.servedOnlyInDrainedZones(kind, now) {
 			continue
 		}
-		p := d.drainedZonesProblem(kind)
+		p := drainedZonesProblem(kind)
 		p.Ran = reply.RanNo
 		p.Version = ex.contractVersion
 		d.finishExecution(ex, reply.Answer{Request: ex.submission.Request, Problem: p}, now)
--- a/internal/disp/submit.go
+++ b/internal/disp/submit.go
@@ -102,7 +102,7 @@
 		return nil
 	}
 	if d.servedOnlyInDrainedZones(s.Kind, now) {
-		return d.drainedZonesProblem(s.Kind)
+		return drainedZonesProblem(s.Kind)
 	}
 	return &reply.Problem{Type: reply.TypeNoUpstream, RetryAfter: noUpstreamRetryMS,
 		Detail: "no upstream serves kind " + s.Kind + " at present"}
--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -217,7 +217,7 @@
 	if p == nil {
 		decode := func() { p = parseJob(&m, body) }
 		if c.Decode(r.Context(), len(body), decode) != nil {
-			return
+			return // the caller has disconnected
 		}
 	}
 	if p != nil {
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -25,7 +25,7 @@
 const (
 	// MaxFrameBytes is the maximum size of a received frame.
 	MaxFrameBytes = 16 << 20
-	// maxHelloBytes is the maximum size of the first frame. Its sender is not known yet, and a
+	// maxHelloBytes is the maximum size of the first frame, whose sender is not known yet. A
 	// hello has a few hundred bytes.
 	maxHelloBytes = 16 << 10
 	// maxPendingLinks is the maximum number of connections of peers that have not sent a hello.
@@ -41,8 +41,9 @@
 	readBufferBytes  = 8 << 10
 	helloTimeout     = 3 * time.Second
 	shutdownTimeout  = 2 * time.Second
-	// initialWindowBytes and maxWindowBytes are the flow control windows of a stream and of
-	// a connection. The first one bounds what an unknown peer can make this process buffer.
+	// initialWindowBytes and maxWindowBytes are the initial and the largest flow control window of
+	// a stream and of a connection. The initial one bounds what an unknown peer can make this
+	// process buffer.
 	initialWindowBytes = 64 << 10
 	maxWindowBytes     = 8 << 20
 )
--- a/internal/link/node.go
+++ b/internal/link/node.go
@@ -58,8 +58,8 @@
 	commands chan dialCommand
 	socket   *net.UDPConn
 	stopped  chan struct{}
-	// pending holds one value for each connection of an unknown peer, from its first packet to
-	// its hello.
+	// pending holds one value for each accepted connection from its first packet to its hello.
+	// Until then its peer is unknown.
 	pending chan struct{}
 }
 
@@ -250,7 +250,7 @@
 }
 
 // acceptLink waits for the stream and the hello of an accepted connection. It closes the
-// connection and returns nil if they do not arrive.
+// connection and returns nil if they do not arrive, or if the hello is refused.
 func (n *Node) acceptLink(ctx context.Context, conn *quic.Conn) *Link {
 	helloCtx, cancel := context.WithTimeout(ctx, helloTimeout)
 	defer cancel()
--- a/internal/link/pending.go
+++ b/internal/link/pending.go
@@ -8,15 +8,16 @@
 	"github.com/quic-go/quic-go"
 )
 
-// errTooManyPending refuses a connection. Its peer dials again.
+// errTooManyPending is why a connection is refused. Its peer dials again.
 const errTooManyPending = errors.ConstError("too many connections without a hello")
 
 // releaseKey is the context key of the function that releases a connection's place among the
 // pending ones.
 type releaseKey struct{}
 
-// reservePending reserves a place for a connection that begins its handshake. The place is
-// released when the hello has arrived, when the connection ends, or after pendingTimeout.
+// reservePending reserves a place among the pending connections for one that begins its handshake.
+// The place is released when the hello has arrived, when the connection ends, or after
+// pendingTimeout.
 func (n *Node) reservePending(ctx context.Context, info *quic.ClientInfo) (context.Context, error) {
 	select {
 	case n.pending <- struct{}{}:
@@ -37,8 +38,8 @@
 }
 
 // verifiesAddresses reports whether a peer must prove that it receives at its address before
-// anything is kept for it. That costs a round trip, so it is required only when many
-// connections are pending.
+// anything is kept for it. That costs a round trip, so it is required only while at least half of
+// the places are taken.
 func (n *Node) verifiesAddresses(net.Addr) bool {
 	return len(n.pending) >= cap(n.pending)/2
 }
--- a/internal/slot/drains.go
+++ b/internal/slot/drains.go
@@ -6,8 +6,8 @@
 const zoneDrainedReason = "the upstream's zone is drained"
 
 // SetZoneDrained records whether the zone of the upstream is drained. While it is, no task is
-// started: new tasks and queued ones are completed as not run, also those of an entry that does
-// not know of the drain yet. Running tasks continue.
+// started: queued and new tasks are completed as not run, even if their entry does not know of
+// the drain yet. Running tasks continue.
 func (p *Pool) SetZoneDrained(drained bool, now clock.Millis) {
 	if drained == p.ZoneDrained {
 		return
@@ -18,7 +18,7 @@
 	}
 }
 
-// Closed reports whether no new task is started: the upstream is leaving or its zone is drained.
+// Closed reports whether the pool starts no tasks because it is leaving or its zone is drained.
 func (p *Pool) Closed() bool {
 	return p.Leaving || p.ZoneDrained
 }
--- a/internal/slot/slot.go
+++ b/internal/slot/slot.go
@@ -152,7 +152,8 @@
 	Upstream *Upstream
 	// RenewedAt is when the upstream last announced itself.
 	RenewedAt clock.Millis
-	// Leaving is set while no new tasks are started; LeaveReason says why.
+	// Leaving is set while the upstream or the agent is leaving, so that no new tasks are
+	// started; LeaveReason says why.
 	Leaving     bool
 	LeaveReason string
 	// Draining is set when the agent shuts down and is never cleared.
@@ -354,9 +355,9 @@
 	return ""
 }
 
-// startQueued starts queued tasks while slots and connections are free: a task that waited for a
-// connection could start after the pool was closed. Tasks whose deadline has passed are
-// completed as not run.
+// startQueued starts queued tasks while both a slot and a connection are free. A task that was in a
+// slot but waited for a connection could reach the upstream after the pool was closed. Tasks whose
+// deadline has passed are completed as not run.
 func (p *Pool) startQueued(now clock.Millis) {
 	for p.Upstream != nil && !p.Closed() && len(p.running) < min(p.Upstream.Slots, p.Upstream.Connections) {
 		// Every kind runs on this upstream.
