--- a/internal/disp/drains_test.go
+++ b/internal/disp/drains_test.go
@@ -36,6 +36,8 @@
 	h.collectActions()
 }
 
+// Guards against starts in a drained zone when work arrives or an agent of the zone reports, and
+// against a zone that is not used again.
 func TestNothingIsSentToADrainedZone(t *testing.T) {
 	h := newZonesHarness(t, "a", "b")
 	h.setDrained("a", true, 10)
--- a/internal/serve/serve_test.go
+++ b/internal/serve/serve_test.go
@@ -55,6 +55,7 @@
 	<-done
 }
 
+// serveWith starts a server with the given limits, which the end of the test closes.
 func serveWith(t *testing.T, s admit.Settings, h http.HandlerFunc) (*serve.Gate, string) {
 	log := slog.New(slog.NewJSONHandler(io.Discard, nil))
 	gate := serve.NewGate(s, clock.New(), log)
