--- a/internal/admit/settings.go
+++ b/internal/admit/settings.go
@@ -34,14 +34,15 @@
 	MinDescriptors = 256
 )
 
+// MinConnections are admitted however little memory and few descriptors a host has.
+const MinConnections = 64
+
 const (
 	// budgetNumerator and budgetDenominator are the part of the memory for clients.
 	budgetNumerator   = 3
 	budgetDenominator = 8
 	// reservedDescriptors are left for files (200), and for the sockets of links and calls.
 	reservedDescriptors = 456
-	// minConnections are admitted however few descriptors there are.
-	minConnections = 64
 	// reservedConnections suffice for probes, heartbeats and scrapers.
 	reservedConnections = 32
 	// maxHeaderLines exceeds what 16,384 bytes of headers can hold at three bytes a line.
@@ -60,7 +61,7 @@
 	}
 	budget := int64(memoryMB) << 20 * budgetNumerator / budgetDenominator
 	// Connections without requests may take half of the budget.
-	connections := max(min(int(budget/2/connectionBytes), descriptors-reservedDescriptors), minConnections)
+	connections := max(min(int(budget/2/connectionBytes), descriptors-reservedDescriptors), MinConnections)
 	return Settings{
 		Bytes:                 budget,
 		Connections:           connections,
--- a/internal/serve/flags.go
+++ b/internal/serve/flags.go
@@ -16,7 +16,6 @@
 	maxMemoryMB      = 1 << 20
 	maxDescriptors   = 1 << 30
 	minClientMB      = 8
-	minConnections   = 64
 	minHeaderLines   = 32
 	minBodyTimeoutMS = 1000
 	maxBodyTimeoutMS = 600_000
@@ -69,7 +68,7 @@
 		{"memory-mb", int(c.MemoryMB), admit.MinMemoryMB, maxMemoryMB},
 		{"max-descriptors", c.Descriptors, admit.MinDescriptors, maxDescriptors},
 		{"max-client-mb", c.ClientMB, minClientMB, maxMemoryMB},
-		{"max-connections", c.Connections, minConnections, maxDescriptors},
+		{"max-connections", c.Connections, admit.MinConnections, maxDescriptors},
 		{"max-connections-per-address", c.ConnectionsPerAddress, 1, maxDescriptors},
 		{"max-header-lines", c.HeaderLines, minHeaderLines, maxDescriptors},
 		{"body-timeout-ms", int(c.BodyTimeoutMS), minBodyTimeoutMS, maxBodyTimeoutMS},
