--- a/internal/check/check.go
+++ b/internal/check/check.go
@@ -92,7 +92,7 @@
 	})
 }
 
-// DropRepeated removes the warnings on fields that have an error.
+// DropRepeated removes the warnings on fields that have an error, which would repeat it.
 func (r *Report) DropRepeated() {
 	type place struct{ file, field string }
 	wrong := map[place]bool{}
@@ -106,8 +106,8 @@
 	})
 }
 
-// Count returns the number of findings of a severity. Omitted findings are counted as
-// warnings, because errors are added first.
+// Count returns the number of findings of a severity. Omitted findings are counted as warnings,
+// because each check adds its errors first.
 func (r *Report) Count(s Severity) int {
 	n := 0
 	for _, f := range r.Findings {
@@ -121,8 +121,8 @@
 	return n
 }
 
-// rejection returns the error for a reason of the form "problem; want correction" or
-// "want correction".
+// rejection returns the finding for a value that a validator of package contr rejected. Its reason
+// has the form "problem; want correction" or "want correction".
 func rejection(rule, file string, line int, field, reason string) Finding {
 	f := Finding{Severity: SeverityError, Rule: rule, File: file, Line: line, Field: field}
 	f.Problem, f.Want = splitReason(reason)
--- a/internal/check/diff.go
+++ b/internal/check/diff.go
@@ -41,7 +41,8 @@
 	Name string `json:"name,omitempty"`
 	// Field is empty if the whole object goes away or is added.
 	Field string `json:"field,omitempty"`
-	// Before and After are the values, which are empty for objects and parts that are missing.
+	// Before and After are the values. Both are empty if an object, or a part such as a kind or a
+	// token, goes away or is added.
 	Before string `json:"before,omitempty"`
 	After  string `json:"after,omitempty"`
 }
@@ -75,8 +76,8 @@
 	d.changes = append(d.changes, Change{Effect: e, Object: d.object, Name: d.name, Field: field, Before: fmt.Sprint(before), After: fmt.Sprint(after)})
 }
 
-// whole adds the change of an object that exists on one side only.
-func (d *differ) whole(e Effect) {
+// wholeObject adds the change of an object that exists on one side only.
+func (d *differ) wholeObject(e Effect) {
 	d.changes = append(d.changes, Change{Effect: e, Object: d.object, Name: d.name})
 }
 
@@ -126,7 +127,7 @@
 	}
 }
 
-// text compares a value that is neither more nor less.
+// text compares a value that has no order. Its change has the given effect.
 func (d *differ) text(e Effect, field, before, after string) {
 	if before != after {
 		d.add(e, field, before, after)
@@ -144,7 +145,8 @@
 	return out
 }
 
-// compareNamed compares two lists by the names of their elements, of which the first counts.
+// compareNamed compares two lists by the names of their elements. Of elements with one name, the
+// first is compared.
 func compareNamed[T any](object string, before, after []T, name func(T) string, compare func(*differ, T, T)) []Change {
 	var out []Change
 	old, current := byName(before, name), byName(after, name)
@@ -157,7 +159,7 @@
 		if j, exists := current[n]; exists {
 			compare(d, b, after[j])
 		} else {
-			d.whole(EffectGoesAway)
+			d.wholeObject(EffectGoesAway)
 		}
 		out = append(out, d.changes...)
 	}
@@ -215,7 +217,7 @@
 		if old := before[f.contract.Customer]; old != nil {
 			compareContract(d, old, f.contract)
 		} else {
-			d.whole(EffectAdded)
+			d.wholeObject(EffectAdded)
 		}
 		c.Changes = append(c.Changes, d.changes...)
 	}
@@ -256,11 +258,12 @@
 	d.flag("hedge", b.Hedge, a.Hedge)
 }
 
-// shownHashBytes is how much of a token's hash is shown.
-const shownHashBytes = 8
+// shownHashDigits is the number of hex digits of a token's hash that are shown, and by which tokens
+// are compared.
+const shownHashDigits = 8
 
 func compareTokens(d *differ, before, after []string) {
-	name := func(hash string) string { return hash[:min(len(hash), shownHashBytes)] }
+	name := func(hash string) string { return hash[:min(len(hash), shownHashDigits)] }
 	for _, c := range compareNamed(d.object, before, after, name, func(*differ, string, string) {}) {
 		c.Field = "tokens[" + c.Name + "]"
 		c.Name = d.name
--- a/internal/check/fields.go
+++ b/internal/check/fields.go
@@ -6,14 +6,6 @@
 	"fmt"
 )
 
-// FieldMisspelt is the rule for names of fields that are unknown and resemble a known one.
-// Decoders that ignore unknown fields ignore these too.
-var FieldMisspelt = Rule{"field_misspelt", "an unknown field is ignored, and the one that is meant keeps its default"}
-
-// NumberCut is the rule for whole numbers that are given with a fraction, or below the least that
-// is used. Decoders that convert them report nothing.
-var NumberCut = Rule{"number_cut", "a number is used without its fraction, and attempts below 1 as 1"}
-
 // maxFieldDepth is the depth, in objects and lists, to which WalkFields reports fields.
 const maxFieldDepth = 4
 
@@ -50,9 +42,9 @@
 	isList bool
 	// next is the index of a list's next element.
 	next int
-	// path of the value that follows, if hasKey is set.
-	valuePath string
+	// hasKey is set if an object's next token is the value of a key, whose path is valuePath.
 	hasKey    bool
+	valuePath string
 }
 
 // step reads one token, and returns false at the end.
@@ -70,15 +62,15 @@
 		w.open(isDelim, d, "")
 		return true
 	}
-	path, isValue := w.place(t)
+	path, isValue := w.visitToken(t)
 	if isValue {
 		w.open(isDelim, d, path)
 	}
 	return true
 }
 
-// place reports a key or a list's element. It returns the path of a value, or false for a key.
-func (w *fieldWalk) place(t json.Token) (string, bool) {
+// visitToken reports a key or a list's element. It returns the path of a value, or false for a key.
+func (w *fieldWalk) visitToken(t json.Token) (string, bool) {
 	if len(w.levels) == 0 {
 		return "", true
 	}
@@ -147,47 +139,3 @@
 	})
 	return lines
 }
-
-// maxMisspelling is the greatest number of letters in which a misspelt name differs.
-const maxMisspelling = 2
-
-// lettersPerMisspelling is the number of a name's letters for each that may differ.
-const lettersPerMisspelling = 4
-
-// Misspelt returns the known name that an unknown name resembles, or "".
-func Misspelt(name string, known []string) string {
-	best, bestDistance := "", min(maxMisspelling, len(name)/lettersPerMisspelling)+1
-	for _, k := range known {
-		if abs(len(k)-len(name)) >= bestDistance {
-			continue
-		}
-		if d := distance(name, k); d < bestDistance {
-			best, bestDistance = k, d
-		}
-	}
-	return best
-}
-
-func abs(n int) int { return max(n, -n) }
-
-// distance returns the number of letters that have to be added, removed or replaced to turn a
-// into b.
-func distance(a, b string) int {
-	row := make([]int, len(b)+1)
-	for j := range row {
-		row[j] = j
-	}
-	for i := range len(a) {
-		diagonal := row[0]
-		row[0] = i + 1
-		for j := range len(b) {
-			replaced := diagonal
-			if a[i] != b[j] {
-				replaced++
-			}
-			diagonal = row[j+1]
-			row[j+1] = min(replaced, row[j]+1, diagonal+1)
-		}
-	}
-	return row[len(b)]
-}
--- a/internal/check/rules.go
+++ b/internal/check/rules.go
@@ -30,7 +30,15 @@
 	find func(*contr.Terms) []hit
 }
 
-// Rules returns all rules in the order of their application.
+// FieldMisspelt is the rule for names of fields that are unknown and resemble a known one.
+// Decoders that ignore unknown fields ignore these too.
+var FieldMisspelt = Rule{"field_misspelt", "an unknown field is ignored, and the one that is meant keeps its default"}
+
+// NumberCut is the rule for whole numbers that are given with a fraction, or below the least that
+// is used. Decoders that convert them report nothing.
+var NumberCut = Rule{"number_cut", "a number is used without its fraction, and attempts below 1 as 1"}
+
+// Rules returns all rules in the order of docs/OPERATORS.md.
 func Rules() []Rule {
 	var out []Rule
 	for _, r := range contractRules {
--- a/internal/check/terms_rules.go
+++ b/internal/check/terms_rules.go
@@ -65,8 +65,9 @@
 	return hits
 }
 
-// findQueuePartHidden warns of queues for which a longer prefix takes the jobs whose id begins
-// with the rest of that prefix. Each queue is compared with the prefixes of its own prefix.
+// findQueuePartHidden warns of queues for which the longer prefix of another takes some jobs: those
+// whose id begins with the hex digits by which that prefix is longer. The shorter prefixes of each
+// queue are looked up by address, because comparing all pairs takes quadratic time.
 func findQueuePartHidden(t *contr.Terms) []hit {
 	var hits []hit
 	first := firstByAddress(t)
@@ -124,7 +125,7 @@
 	return findTwice(names, fleetField)
 }
 
-// findTwice warns of names that stand twice.
+// findTwice warns of names that an earlier element of the list has.
 func findTwice(names []string, field func(int, string) string) []hit {
 	var hits []hit
 	first := make(map[string]int, len(names))
--- a/internal/check/text.go
+++ b/internal/check/text.go
@@ -10,7 +10,7 @@
 func (r *Report) Text() string {
 	b := &strings.Builder{}
 	for _, f := range r.Findings {
-		line := fmt.Sprintf("%s: %s: %s%s; want %s [%s]", f.place(), f.Severity, fieldText(f.Field), f.Problem, f.Want, f.Rule)
+		line := fmt.Sprintf("%s: %s: %s%s; want %s [%s]", f.position(), f.Severity, fieldText(f.Field), f.Problem, f.Want, f.Rule)
 		fmt.Fprintln(b, printable(line))
 	}
 	if r.Omitted > 0 {
@@ -37,7 +37,8 @@
 	}, line)
 }
 
-func (f *Finding) place() string {
+// position returns the file and, if it is known, the line.
+func (f *Finding) position() string {
 	if f.Line == 0 {
 		return f.File
 	}
--- a/internal/contr/config.go
+++ b/internal/contr/config.go
@@ -203,8 +203,9 @@
 	return d.Version
 }
 
-// setDocument stores a document and, if it is a contract, updates the parsed contracts and the
-// tokens; if it is a drain, the drained zones. If the text of a contract can't be parsed, the customer has no contract in force.
+// setDocument stores a document. A contract updates the parsed contracts and the tokens, and a drain
+// the drained zones. If the text of a contract can't be parsed, the customer has no contract in
+// force.
 func (cf *Config) setDocument(d Document) {
 	cf.Documents[d.Name] = d
 	cf.setDrain(d)
--- a/internal/contr/contr.go
+++ b/internal/contr/contr.go
@@ -102,9 +102,11 @@
 	return fmt.Sprintf("%s:%d: %s: %s", e.File, e.Line, e.Field, e.Reason)
 }
 
-// Bounds on a contract's text, so that a document fits into one record of the log.
+// MaxTextBytes is the largest size of a contract's text, so that a document fits into one record of
+// the log.
+const MaxTextBytes = 64 << 10
+
 const (
-	MaxTextBytes  = 64 << 10
 	maxKinds      = 64
 	maxDeadlineMS = int64(600_000)
 )
--- a/internal/contr/text.go
+++ b/internal/contr/text.go
@@ -39,7 +39,7 @@
 	return fmt.Sprintf("parse contract %s: %s", e.File, e.Detail)
 }
 
-// checkText returns why a text is not given to the decoder, or nil.
+// checkText returns an error for a text that is too long, or nested too deeply, to be decoded.
 func checkText(file string, text []byte) error {
 	if len(text) > MaxTextBytes {
 		return plainTextError(file, 1, fmt.Sprintf("the text is over the limit of %d bytes", MaxTextBytes))
@@ -88,9 +88,9 @@
 	return longest
 }
 
-// deepLine returns the first line at which the text is nested deeper than maxNesting, or 0.
-// Entries of sequences and keys nest without brackets if they follow each other on one line;
-// nesting by indentation stays shallow, because each level lengthens all lines below it.
+// deepLine returns the first line at which the text is nested deeper than maxNesting, or 0. Entries
+// of sequences and keys nest without brackets if they follow each other on one line. Nesting by
+// indentation stays shallow, because each level lengthens all lines below it.
 func deepLine(text []byte) int {
 	brackets, onLine, line := 0, 0, 0
 	for _, t := range lexer.Tokenize(string(text)) {
--- a/internal/report/report.go
+++ b/internal/report/report.go
@@ -4,7 +4,6 @@
 
 import (
 	"encoding/json"
-	"fmt"
 	"io"
 	"os"
 
@@ -15,18 +14,6 @@
 	"github.com/turmericbarrow/turmericbarrow/internal/daemon"
 )
 
-// ExitStatus is the exit code of a command that ends without a message.
-type ExitStatus int
-
-// The exit codes of the check commands.
-const (
-	ExitWarnings ExitStatus = 1
-	ExitErrors   ExitStatus = 2
-)
-
-// Error returns the exit code as text.
-func (s ExitStatus) Error() string { return fmt.Sprintf("exit code %d", int(s)) }
-
 // Formats of reports.
 const (
 	formatText = "text"
@@ -107,68 +94,3 @@
 	defer f.Close()
 	return io.ReadAll(io.LimitReader(f, int64(limit)+1))
 }
-
-// UsageError marks an error of a check command's flags, arguments or connections. Code 1
-// stands for warnings, so these commands exit with ExitErrors on all errors.
-type UsageError struct {
-	Err error
-}
-
-// Error returns the error.
-func (e *UsageError) Error() string { return e.Err.Error() }
-
-// Command makes the errors of a command's arguments, flags and environment UsageErrors, and those
-// of its run unless they are an ExitStatus.
-func Command(c *cobra.Command) *cobra.Command {
-	args, run := c.Args, c.RunE
-	c.PersistentPreRunE = func(c *cobra.Command, _ []string) error {
-		return usage(daemon.SetFlagsFromEnvironment(c.Flags()))
-	}
-	c.Args = func(c *cobra.Command, a []string) error { return usage(args(c, a)) }
-	c.RunE = func(c *cobra.Command, a []string) error { return usage(run(c, a)) }
-	c.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usage(err) })
-	return c
-}
-
-func usage(err error) error {
-	var status ExitStatus
-	if err == nil || errors.As(err, &status) {
-		return err
-	}
-	return &UsageError{Err: err}
-}
-
-// ExitCode returns the exit code of a command that ended with an error, and whether the error
-// has to be printed. Errors that this package does not know have the code otherwise.
-func ExitCode(err error, otherwise int) (code int, visible bool) {
-	var status ExitStatus
-	if errors.As(err, &status) {
-		return int(status), false
-	}
-	var u *UsageError
-	if errors.As(err, &u) {
-		return int(ExitErrors), true
-	}
-	return otherwise, true
-}
-
-// WriteSettings writes the report on the settings of a process, and returns the ExitStatus that
-// it calls for, or nil.
-func WriteSettings(out io.Writer, process string, errs []error) error {
-	o := Options{Output: formatText}
-	return o.Write(out, settings(process, errs))
-}
-
-// settings returns the report on the settings of a process. Each error is a finding.
-func settings(process string, errs []error) check.Report {
-	r := check.Report{}
-	for _, err := range errs {
-		var flag *daemon.FlagError
-		if errors.As(err, &flag) {
-			r.Add(check.SettingError(process, "--"+flag.Name, fmt.Sprintf("%v is not allowed", flag.Value), flag.Allowed))
-			continue
-		}
-		r.Add(check.SettingError(process, "", err.Error(), "a value that the process can use"))
-	}
-	return r
-}
--- a/pkg/cli/check.go
+++ b/pkg/cli/check.go
@@ -128,12 +128,13 @@
 	return nil
 }
 
+// setConfig makes the contracts in force the ones to compare with.
 func setConfig(config entry.ConfigResponse, input *check.ContractsInput) {
 	input.Base, input.BaseVersion, input.Compare = config.Documents, config.Version, true
 }
 
-// setUpstreams adds up the upstreams that an entry is linked to. An entry without any knows
-// nothing of the kinds that are served.
+// setUpstreams derives facts from the upstreams that an entry is linked to. An entry without any
+// does not know which kinds are served. Slots that the operator gave are kept.
 func setUpstreams(upstreams []route.Upstream, facts *check.Facts) {
 	if len(upstreams) == 0 {
 		return
--- a/pkg/cli/check_test.go
+++ b/pkg/cli/check_test.go
@@ -27,12 +27,13 @@
 
 var update = flag.Bool("update", false, "write the golden file of the wrong contracts")
 
-// wrongContracts is the table of wrong contracts.
+// wrongContracts is the table of testdata/wrong_contracts.yaml.
 type wrongContracts struct {
 	Base  string          `yaml:"base"`
 	Cases []wrongContract `yaml:"cases"`
 }
 
+// wrongContract is one case. The file describes its fields.
 type wrongContract struct {
 	Name   string      `yaml:"name"`
 	Edits  [][2]string `yaml:"edits"`
--- a/pkg/cli/settings.go
+++ b/pkg/cli/settings.go
@@ -118,12 +118,12 @@
 	if err := errs.first(); err != nil {
 		return id, err
 	}
-	err := id.use(creds)
+	err := id.setCredentials(creds)
 	return id, err
 }
 
-// use sets the TLS credentials.
-func (id *identity) use(creds certs.Credentials) error {
+// setCredentials sets the TLS configuration and the certificate's expiry.
+func (id *identity) setCredentials(creds certs.Credentials) error {
 	var err error
 	if id.tls, err = creds.TLSConfig(); err != nil {
 		return err
@@ -132,12 +132,13 @@
 	return err
 }
 
-// credentialProblems returns why a process could not use its credentials.
+// credentialProblems returns an error for each reason for which the process can't use its
+// credentials.
 func (h *hostFlags) credentialProblems() []error {
 	creds, errs := h.credentials()
 	if len(errs) == 0 {
 		id := identity{}
-		errs.add(id.use(creds))
+		errs.add(id.setCredentials(creds))
 	}
 	return errs
 }
--- a/pkg/cli/zone.go
+++ b/pkg/cli/zone.go
@@ -70,8 +70,8 @@
 	return nil
 }
 
-// warnAboutZone prints a warning if the entry knows no host in a drained zone, so that the name
-// may be mistyped, or hosts in several regions.
+// warnAboutZone prints a warning if the entry knows no host in a drained zone, whose name may then
+// be mistyped, or if it knows hosts of that zone name in several regions.
 func (a *app) warnAboutZone(s entry.State, zone string) {
 	known := knownZones(s)
 	z := known[zone]
@@ -139,6 +139,17 @@
 	return zones
 }
 
+// drainsByZone returns the documents that drain zones, by zone.
+func drainsByZone(documents []contr.Document) map[string]contr.Document {
+	drains := map[string]contr.Document{}
+	for _, d := range documents {
+		if name, isDrain := d.Zone(); isDrain && !d.Deleted {
+			drains[name] = d
+		}
+	}
+	return drains
+}
+
 func (a *app) listZones(ctx context.Context, o *operatorFlags) error {
 	config, err := fetchConfig(ctx, o)
 	if err != nil {
@@ -149,13 +160,8 @@
 		return err
 	}
 	zones := knownZones(state)
-	drains := map[string]contr.Document{}
-	for _, d := range config.Documents {
-		name, isDrain := d.Zone()
-		if !isDrain || d.Deleted {
-			continue
-		}
-		drains[name] = d
+	drains := drainsByZone(config.Documents)
+	for name := range drains {
 		if zones[name] == nil {
 			zones[name] = &knownZone{}
 		}
