--- a/internal/check/check.go
+++ b/internal/check/check.go
@@ -17,11 +17,11 @@
 const (
 	// SeverityError means that the system rejects the configuration.
 	SeverityError Severity = "error"
-	// SeverityWarning means that the system accepts it, with an effect that is hardly meant.
+	// SeverityWarning means that the system accepts it, with an effect that is probably not intended.
 	SeverityWarning Severity = "warning"
 )
 
-// The names of the findings that are errors.
+// The rules of findings that are errors.
 const (
 	// RuleFile means that a file can't be read.
 	RuleFile = "file"
--- a/internal/contr/terms.go
+++ b/internal/contr/terms.go
@@ -29,19 +29,22 @@
 	TimeoutMS clock.Millis
 }
 
-// Fleet is a pool of workers.
+// Fleet is a pool of workers. Queues and workers refer to it by name. Its other fields are passed on
+// to other entries, but not evaluated.
 type Fleet struct {
 	Name string
-	// MaxConnections is the maximum number of connections that an agent opens to one worker.
+	// MaxConnections is the maximum number of connections that an agent may open to one worker.
 	MaxConnections int
 	// Guarded means that the workers reject tasks that do not fit.
 	Guarded bool
 }
 
-// HTTPLimits bounds the requests and connections of callers.
+// HTTPLimits bounds the requests and connections of callers. Zero means the default of the listener.
+// Only BodyBytes is evaluated; for the rest, package serve has fixed limits.
 type HTTPLimits struct {
 	HeaderBytes int
-	BodyBytes   int64
+	// BodyBytes is the maximum size of a request's body.
+	BodyBytes int64
 	// HeaderTimeoutMS is the maximum time for a request's headers to arrive.
 	HeaderTimeoutMS clock.Millis
 	// IdleTimeoutMS is the maximum time that a connection may stay open between requests.
