admit: Small requests keep their reserve while whole ones fill the budget

Found in review: about 80 jobs of under 200 bytes with 4,096 tasks each fill the budget with requests that are never shed; every small request that arrived then shed all idle and unfinished ones, while the reserve of an eighth was free.

Change: small victims are spared up to the limit for small requests.

Result: TestSmallRequestsAreServedWhileWholeOnesFillTheBudget fails without the change and passes with it.

--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -52,6 +52,10 @@
 // may have thousands of tasks.
 const TaskBytes = 160
 
+// DependencyBytes is the cost of an entry in the dependencies of a job's steps until the job is
+// answered. Each takes two bytes of a body.
+const DependencyBytes = 16
+
 // unlimitedBytes exceeds every budget. Half of the largest value leaves room to add to it.
 const unlimitedBytes = math.MaxInt64 / 2
 
@@ -244,6 +248,9 @@
 		if c.Bytes <= budget-budget/headroomDivisor {
 			break
 		}
+		if victim.Bytes <= smallBytes && !c.exceeds(c.limitFor(victim)) {
+			continue // the reserve is for small requests
+		}
 		shed = append(shed, c.shed(victim, Memory))
 	}
 	if c.exceeds(c.limitFor(n)) && !n.Shed && n.Phase != PhaseComplete {
--- a/internal/admit/admit_test.go
+++ b/internal/admit/admit_test.go
@@ -205,3 +205,35 @@
 	c.Finish(n, 2)
 	require.Less(t, c.Bytes, before)
 }
+
+// A few dozen small jobs of thousands of tasks fill the budget with requests that are never shed.
+// Ordinary clients then shed each other, although the reserve for small requests was free.
+func TestSmallRequestsAreServedWhileWholeOnesFillTheBudget(t *testing.T) {
+	c := admit.New(admit.Defaults(144, 3075))
+	for c.Bytes < c.Settings.Bytes {
+		n, _ := c.Open(callers, address(1), 0)
+		granted, _ := c.Acquire(n, 600<<10, 0)
+		if granted == 0 {
+			break
+		}
+		require.True(t, c.Complete(n))
+	}
+	var clients []*admit.Conn
+	for i := range 50 {
+		n, shed := c.Open(callers, address(2), clock.Millis(i))
+		require.NotNil(t, n)
+		require.Empty(t, shed)
+		clients = append(clients, n)
+	}
+	for round := range 10 {
+		for _, n := range clients {
+			granted, shed := c.Acquire(n, admit.BodyCost(3000), clock.Millis(100*round))
+			require.Positive(t, granted)
+			require.Empty(t, shed)
+		}
+		for _, n := range clients {
+			require.True(t, c.Complete(n))
+			c.Finish(n, clock.Millis(100*round+50))
+		}
+	}
+}
