--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -102,6 +102,15 @@
 	return n
 }
 
+// DependencyCount returns the number of entries in the dependencies of all steps.
+func (s Spec) DependencyCount() int {
+	n := 0
+	for _, step := range s.Steps {
+		n += len(step.After)
+	}
+	return n
+}
+
 // Outcome is how a run of a task ended.
 type Outcome int
 
