platform, entry: No empty 200 for a large body whose client half-closed

Found in review: a client that closes its sending side while its body waits to be decoded ends the request's context; the handler returned without a status, which the HTTP library sends as 200.

Result: read, not run.

--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -217,7 +217,9 @@
 	if p == nil {
 		decode := func() { p = parseJob(&m, body) }
 		if c.Decode(r.Context(), len(body), decode) != nil {
-			return // the caller has disconnected
+			// A caller that closed only its sending side must not take this for an answer.
+			rw.WriteHeader(http.StatusServiceUnavailable)
+			return
 		}
 	}
 	if p != nil {
