--- a/internal/serve/flags.go
+++ b/internal/serve/flags.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"runtime/debug"
 
 	"github.com/spf13/pflag"
@@ -65,7 +66,7 @@
 		value      int
 		minV, maxV int
 	}{
-		{"memory-mb", int(c.MemoryMB), admit.MinMemoryMB, maxMemoryMB},
+		{"memory-mb", int(math.Ceil(c.MemoryMB)), admit.MinMemoryMB, maxMemoryMB},
 		{"max-descriptors", c.Descriptors, admit.MinDescriptors, maxDescriptors},
 		{"max-client-mb", c.ClientMB, minClientMB, maxMemoryMB},
 		{"max-connections", c.Connections, admit.MinConnections, maxDescriptors},
