place: Stops are sent before the answer of an abandoned job

Cause: finish emitted the answer before the stops, and the entry performs actions in their order.

Change: the answer comes last. TestJobIsAbandonedOnceAnotherEntryRunsIt, which fixed the old order, requires the stop first.

--- a/internal/place/overlap_test.go
+++ b/internal/place/overlap_test.go
@@ -55,8 +55,8 @@
 	s.RunEnded("old", taskRef(l, 0), l.Tasks[0].Run, jobs.OutcomeSuperseded, 0, 100)
 	actions := s.TakeActions()
 	require.Len(t, actions, 2)
-	require.Equal(t, VerdictUnknown, actions[0].(Answer).Verdict)
-	require.Equal(t, Stop{Agent: "old", Job: l.Job, Tasks: []jobs.TaskID{l.Tasks[1].ID}}, actions[1])
+	require.Equal(t, Stop{Agent: "old", Job: l.Job, Tasks: []jobs.TaskID{l.Tasks[1].ID}}, actions[0], "the stop is sent before the answer")
+	require.Equal(t, VerdictUnknown, actions[1].(Answer).Verdict)
 }
 
 // Guards against two runs at once: the stop of a run that a new agent process had taken over was lost
--- a/internal/place/submit.go
+++ b/internal/place/submit.go
@@ -154,8 +154,6 @@
 	if v == VerdictUnknown && !j.Started {
 		v = VerdictRefused
 	}
-	s.emitAnswer(Answer{Job: j, Verdict: v, Reason: reason, RetryAfter: minRetryAfterMS,
-		View: s.fleetView(j, now)})
 	stops := map[string][]jobs.TaskID{}
 	for _, t := range j.Tasks {
 		if t.State == TaskSent && !t.Stopping {
@@ -166,6 +164,9 @@
 	for agent, ids := range stops {
 		s.actions = append(s.actions, Stop{Agent: agent, Job: j.Spec.ID, Tasks: ids})
 	}
+	// The caller may submit the job again as soon as it has the answer.
+	s.emitAnswer(Answer{Job: j, Verdict: v, Reason: reason, RetryAfter: minRetryAfterMS,
+		View: s.fleetView(j, now)})
 	s.deleteIfNoRuns(j)
 }
 
