Review: Case 6, one heartbeat of another writer ends all service

Cause: an agent takes any heartbeat with a later start time for a new life of its worker, also one whose service no configuration names, and then ignores the real minion's heartbeats and polls. Change: the case, and the stand-ins that the cases of this review share.

--- /dev/null
+++ b/review/_standin2/cases.go
@@ -0,0 +1,260 @@
+package main
+
+import (
+	"bytes"
+	"net/http"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// fleet starts entries on machines 1 and up and agents with minions on machines 11 and up.
+func fleet(w *World, entries int, kinds ...Kind) (fronts, agents []*Process, minions []*Minion, err error) {
+	for i := range entries {
+		p, err := w.Start("entry", 1+i)
+		if err != nil {
+			return nil, nil, nil, err
+		}
+		fronts = append(fronts, p)
+	}
+	for i, k := range kinds {
+		p, err := w.Start("agent", 11+i)
+		if err != nil {
+			return nil, nil, nil, err
+		}
+		agents = append(agents, p)
+		time.Sleep(200 * time.Millisecond)
+		m, err := w.Minion(11+i, "i-"+newID()[:8], k, portApp, w.address(p.IP, portControl))
+		if err != nil {
+			return nil, nil, nil, err
+		}
+		minions = append(minions, m)
+	}
+	for _, p := range fronts {
+		if err := w.AwaitReady(p); err != nil {
+			return nil, nil, nil, err
+		}
+	}
+	time.Sleep(2 * time.Second)
+	return fronts, agents, minions, nil
+}
+
+func kind(cpu int, labels ...string) Kind {
+	return Kind{Service: service, Capacity: Size{CPU: cpu, MemMB: 32768}, Labels: labels, Guards: true}
+}
+
+// lateCopyOfCancelledJob: a job is cancelled; an entry is restarted; a copy of the job's submission
+// arrives there some seconds after the answer.
+func lateCopyOfCancelledJob(w *World, trouble bool) (verdict, error) {
+	fronts, _, _, err := fleet(w, 2, kind(16000, "a"), kind(16000, "a"))
+	if err != nil {
+		return cannotRun, err
+	}
+	job := Job{ID: newID(), Count: 4, Spec: Spec{CPU: 1600, WorkMS: 1200}}
+	answered := make(chan Answer, 1)
+	go func() { answered <- w.Submit(fronts[0], job, 5000) }()
+	time.Sleep(300 * time.Millisecond)
+	cancelled := w.Cancel(fronts[0], job.ID)
+	if cancelled.Status != http.StatusOK && cancelled.Status != http.StatusGone {
+		return ruleHeld, nil // not acknowledged
+	}
+	if a := <-answered; a.Status/100 != 2 {
+		return ruleHeld, nil
+	}
+	entry := fronts[0]
+	if trouble {
+		w.Signal(entry, syscall.SIGTERM)
+		if entry, err = w.Start("entry", 1); err != nil {
+			return cannotRun, err
+		}
+		started := time.Now()
+		if err := w.AwaitReady(entry); err != nil {
+			return cannotRun, err
+		}
+		time.Sleep(time.Until(started.Add((contactMS + 500) * time.Millisecond)))
+	} else {
+		time.Sleep((cancelMS + 2500) * time.Millisecond)
+	}
+	w.Submit(entry, job, 5000)
+	time.Sleep(500 * time.Millisecond)
+	return startedAfterCancel(w, cancelled), nil
+}
+
+// startedAfterCancel checks that no task was started later than cancel_ms after the
+// acknowledgement of the job's cancelling.
+func startedAfterCancel(w *World, cancelled Answer) verdict {
+	v := ruleHeld
+	for _, t := range w.Tasks() {
+		if t.StartedAt > cancelled.At+cancelMS {
+			w.Record.Add("%s started %d ms after the acknowledgement of the cancelling", t.Name, t.StartedAt-cancelled.At)
+			v = ruleBroken
+		}
+	}
+	return v
+}
+
+// rebornMinionOfAnotherKind: one of six minions is cut off, crashes behind the cut and starts again
+// under its id, with another label. Jobs that require the label that it had come all the while.
+func rebornMinionOfAnotherKind(w *World, trouble bool) (verdict, error) {
+	entry, err := w.Start("entry", 1)
+	if err != nil {
+		return cannotRun, err
+	}
+	var minions []*Minion
+	var proxies []*Proxy
+	for machine := 11; machine <= 16; machine++ {
+		p, err := w.Start("agent", machine)
+		if err != nil {
+			return cannotRun, err
+		}
+		time.Sleep(200 * time.Millisecond)
+		m, between, err := minionBehindProxies(w, machine, p)
+		if err != nil {
+			return cannotRun, err
+		}
+		minions, proxies = append(minions, m), append(proxies, between...)
+	}
+	if err := w.AwaitReady(entry); err != nil {
+		return cannotRun, err
+	}
+	time.Sleep(2 * time.Second)
+	stopTraffic := traffic(w, entry, 10*time.Millisecond, Job{Count: 4, Spec: Spec{Label: "a", CPU: 1600, WorkMS: 100}})
+	time.Sleep(2 * time.Second)
+	if trouble {
+		w.Record.Add("minion %s is cut off", minions[0].ID)
+		proxies[0].Cut(true)
+		proxies[1].Cut(true)
+		time.Sleep(1200 * time.Millisecond)
+		minions[0].Crash()
+		time.Sleep(400 * time.Millisecond)
+		if _, err := w.Minion(11, minions[0].ID, kind(16000, "b"), portDirect, w.address(w.ip(11), portBeats)); err != nil {
+			return cannotRun, err
+		}
+		time.Sleep(3200 * time.Millisecond)
+		proxies[0].Cut(false)
+		proxies[1].Cut(false)
+		w.Record.Add("the cut has ended")
+	}
+	time.Sleep(4 * time.Second)
+	stopTraffic()
+	broken := 0
+	for _, t := range w.Tasks() {
+		if t.Spec.Label != t.Kind.Labels[0] {
+			broken++
+		}
+	}
+	if broken > 0 {
+		w.Record.Add("%d starts on a minion without the label in requirements", broken)
+		return ruleBroken, nil
+	}
+	return ruleHeld, nil
+}
+
+// minionBehindProxies starts a minion whose calls from and to its agent pass through proxies.
+func minionBehindProxies(w *World, machine int, agent *Process) (*Minion, []*Proxy, error) {
+	app, err := NewProxy(w.address(agent.IP, portApp), w.address(agent.IP, portDirect))
+	if err != nil {
+		return nil, nil, err
+	}
+	control, err := NewProxy(w.address(agent.IP, portBeats), w.address(agent.IP, portControl))
+	if err != nil {
+		return nil, nil, err
+	}
+	m, err := w.Minion(machine, "i-"+newID()[:8], kind(16000, "a"), portDirect, w.address(agent.IP, portBeats))
+	return m, []*Proxy{app, control}, err
+}
+
+// traffic submits jobs like j at an interval until the function that it returns is called, which
+// waits for the last answers.
+func traffic(w *World, entry *Process, interval time.Duration, j Job) (stop func()) {
+	stopped, ended := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(ended)
+		var answers sync.WaitGroup
+		defer answers.Wait()
+		t := time.NewTicker(interval)
+		defer t.Stop()
+		for {
+			select {
+			case <-stopped:
+				return
+			case <-t.C:
+				next := j
+				next.ID = newID()
+				answers.Go(func() { w.Submit(entry, next, 1500) })
+			}
+		}
+	}()
+	return func() {
+		close(stopped)
+		<-ended
+	}
+}
+
+// heartbeatOfAnotherWriter: while jobs run, each agent gets one heartbeat of another writer, with a
+// service that no configuration names. Further jobs come after it.
+func heartbeatOfAnotherWriter(w *World, trouble bool) (verdict, error) {
+	fronts, agents, _, err := fleet(w, 2, kind(16000, "a"), kind(16000, "a"), kind(16000, "a"))
+	if err != nil {
+		return cannotRun, err
+	}
+	early := make(chan Answer, earlyJobs)
+	for i := range earlyJobs {
+		go func() {
+			early <- w.Submit(fronts[i%len(fronts)], Job{ID: newID(), Count: 2, Spec: Spec{CPU: 1600, WorkMS: 2000}}, 25000)
+		}()
+	}
+	time.Sleep(500 * time.Millisecond)
+	if trouble {
+		for _, p := range agents {
+			if err := sendForeignBeat(w, p); err != nil {
+				return cannotRun, err
+			}
+		}
+	}
+	time.Sleep(contactMS * time.Millisecond)
+	served, sent := 0, 0
+	for range 60 {
+		for _, p := range fronts {
+			sent++
+			if a := w.Submit(p, Job{ID: newID(), Count: 2, Spec: Spec{CPU: 1600, WorkMS: 60}}, 1500); a.State == "succeeded" {
+				served++
+			}
+		}
+		time.Sleep(250 * time.Millisecond)
+	}
+	w.Record.Add("%d of %d later requests served", served, sent)
+	earlyServed, done := 0, 0
+	for range earlyJobs {
+		if a := <-early; a.State == "succeeded" {
+			earlyServed++
+		}
+	}
+	for _, t := range w.Tasks() {
+		if t.How == "done" && t.Spec.WorkMS == 2000 {
+			done++
+		}
+	}
+	w.Record.Add("earlier requests: %d of %d served; minions ended %d of their tasks done", earlyServed, earlyJobs, done)
+	if served+earlyServed == 0 {
+		return ruleBroken, nil
+	}
+	return ruleHeld, nil
+}
+
+// earlyJobs is the number of jobs that run when the heartbeats of the other writer arrive.
+const earlyJobs = 6
+
+// sendForeignBeat sends an agent one heartbeat of another writer that has just started.
+func sendForeignBeat(w *World, agent *Process) error {
+	k := Kind{Service: "not-named-here", Capacity: Size{CPU: 16000, MemMB: 32768}, Labels: []string{"a"}}
+	body := beatBody(k, w.address(agent.IP, portDirect), "zone-a", "ready", 5000, 4, time.Now().UnixMilli())
+	url := "http://" + w.address(agent.IP, portControl) + "/instances/i-" + newID()[:8] + "/heartbeat"
+	resp, err := http.Post(url, "application/json", bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	resp.Body.Close()
+	w.Record.Add("another writer: heartbeat to %s answered %d: %s", agent.Name, resp.StatusCode, body)
+	return nil
+}
