--- a/review/_standin2/minion.go
+++ b/review/_standin2/minion.go
@@ -341,6 +341,7 @@
 		return
 	}
 	for len(m.ended) > 0 && m.ended[0].number <= int(o.AckCursor) {
+		m.record.Add("minion %s: the end of %s run %d is acknowledged", m.ID, m.ended[0].task.Name, m.ended[0].task.Run)
 		m.ended = m.ended[1:]
 	}
 	if len(m.ended) == 0 && o.WaitMS > 0 {
