--- a/review/_standin2/cases.go
+++ b/review/_standin2/cases.go
@@ -3,12 +3,14 @@
 import (
 	"bytes"
 	"net/http"
+	"slices"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
 )
 
-// fleet starts entries on machines 1 and up and agents with minions on machines 11 and up.
+// fleet starts entries on machines 1 and up and agents with minions on machines 31 and up.
 func fleet(w *World, entries int, kinds ...Kind) (fronts, agents []*Process, minions []*Minion, err error) {
 	for i := range entries {
 		p, err := w.Start("entry", 1+i)
@@ -18,13 +20,13 @@
 		fronts = append(fronts, p)
 	}
 	for i, k := range kinds {
-		p, err := w.Start("agent", 11+i)
+		p, err := w.Start("agent", 31+i)
 		if err != nil {
 			return nil, nil, nil, err
 		}
 		agents = append(agents, p)
 		time.Sleep(200 * time.Millisecond)
-		m, err := w.Minion(11+i, "i-"+newID()[:8], k, portApp, w.address(p.IP, portControl))
+		m, err := w.Minion(31+i, "i-"+newID()[:8], k, portApp, w.address(p.IP, portControl))
 		if err != nil {
 			return nil, nil, nil, err
 		}
@@ -77,15 +79,15 @@
 	}
 	w.Submit(entry, job, 5000)
 	time.Sleep(500 * time.Millisecond)
-	return startedAfterCancel(w, cancelled), nil
+	return startedAfterCancel(w, job, cancelled), nil
 }
 
-// startedAfterCancel checks that no task was started later than cancel_ms after the
-// acknowledgement of the job's cancelling.
-func startedAfterCancel(w *World, cancelled Answer) verdict {
+// startedAfterCancel checks that no task of a job was started later than cancel_ms after the
+// acknowledgement of its cancelling.
+func startedAfterCancel(w *World, j Job, cancelled Answer) verdict {
 	v := ruleHeld
 	for _, t := range w.Tasks() {
-		if t.StartedAt > cancelled.At+cancelMS {
+		if strings.HasPrefix(t.Name, j.ID) && t.StartedAt > cancelled.At+cancelMS {
 			w.Record.Add("%s started %d ms after the acknowledgement of the cancelling", t.Name, t.StartedAt-cancelled.At)
 			v = ruleBroken
 		}
@@ -93,6 +95,63 @@
 	return v
 }
 
+// lateCopyAfterManyCancels: a job is cancelled, and then many others are. A copy of the first job's
+// submission arrives some seconds after the answer. There are as many entries as in a grown
+// deployment, and requests come at its rate; 35 of 100 jobs are cancelled, those that are not are
+// left out.
+func lateCopyAfterManyCancels(w *World, trouble bool) (verdict, error) {
+	// Each agent links to six entries, and each entry needs an agent.
+	kinds := slices.Repeat([]Kind{kind(16000, "a")}, 10)
+	fronts, _, _, err := fleet(w, grownEntries, kinds...)
+	if err != nil {
+		return cannotRun, err
+	}
+	job := Job{ID: newID(), Count: 2, Spec: Spec{CPU: 1600, WorkMS: 1200}}
+	answered := make(chan Answer, 1)
+	go func() { answered <- w.Submit(fronts[0], job, 5000) }()
+	time.Sleep(300 * time.Millisecond)
+	cancelled := w.Cancel(fronts[0], job.ID)
+	if a := <-answered; a.Status/100 != 2 || cancelled.Status != http.StatusOK {
+		return ruleHeld, nil
+	}
+	end := time.Now().Add(cancelSeconds * time.Second)
+	if trouble {
+		cancelMany(w, fronts, end)
+	}
+	time.Sleep(time.Until(end.Add(300 * time.Millisecond)))
+	w.Submit(fronts[1], job, 5000)
+	time.Sleep(500 * time.Millisecond)
+	return startedAfterCancel(w, job, cancelled), nil
+}
+
+// Figures of the grown deployments: the number of entries, and how many of 844 jobs a second are
+// cancelled with a share of 0.35.
+const (
+	grownEntries  = 11
+	cancelsPerS   = 295
+	cancelSeconds = 8
+)
+
+// cancelMany submits jobs at all entries and cancels each of them at once.
+func cancelMany(w *World, fronts []*Process, end time.Time) {
+	var clients sync.WaitGroup
+	t := time.NewTicker(time.Second / cancelsPerS)
+	defer t.Stop()
+	n := 0
+	for ; time.Now().Before(end); n++ {
+		<-t.C
+		p := fronts[n%len(fronts)]
+		j := Job{ID: newID(), Count: 1, Spec: Spec{CPU: 500, WorkMS: 400}}
+		clients.Go(func() { w.Submit(p, j, 1500) })
+		clients.Go(func() {
+			time.Sleep(50 * time.Millisecond)
+			w.Cancel(p, j.ID)
+		})
+	}
+	clients.Wait()
+	w.Record.Add("%d other jobs were cancelled", n)
+}
+
 // rebornMinionOfAnotherKind: one of six minions is cut off, crashes behind the cut and starts again
 // under its id, with another label. Jobs that require the label that it had come all the while.
 func rebornMinionOfAnotherKind(w *World, trouble bool) (verdict, error) {
--- a/review/_standin2/main.go
+++ b/review/_standin2/main.go
@@ -25,6 +25,7 @@
 
 var cases = map[string]caseFunc{
 	"copy":      lateCopyOfCancelledJob,
+	"many":      lateCopyAfterManyCancels,
 	"reborn":    rebornMinionOfAnotherKind,
 	"heartbeat": heartbeatOfAnotherWriter,
 }
