Review: Case 6, a job runs twice after a reset that its entry did not get

Cause: nobody owns a job's id across entries; an entry that does not see that its caller's connection broke works on beside the next entry.

--- a/review/_standin2/cases.go
+++ b/review/_standin2/cases.go
@@ -301,6 +301,71 @@
 	return ruleHeld, nil
 }
 
+// resetLostOnItsWay: 40 of the 72 connections of clients to an entry are reset. For one of them the
+// reset does not reach the entry. Each of these clients submits its job again 1.3 s later, at another
+// entry.
+func resetLostOnItsWay(w *World, trouble bool) (verdict, error) {
+	fronts, _, _, err := fleet(w, 2, slices.Repeat([]Kind{kind(16000, "a")}, 6)...)
+	if err != nil {
+		return cannotRun, err
+	}
+	proxy, err := NewProxy(w.address(w.ip(101), portCallers), w.address(fronts[0].IP, portCallers))
+	if err != nil {
+		return cannotRun, err
+	}
+	through := &Process{Name: fronts[0].Name + " through the proxy", IP: w.ip(101)}
+	var clients sync.WaitGroup
+	for range allClients {
+		clients.Go(func() {
+			j := Job{ID: newID(), Count: 2, Spec: Spec{CPU: 500, WorkMS: 2000}}
+			if a := w.Submit(through, j, callerDeadlineMS); a.Err != nil || a.Status == http.StatusGatewayTimeout {
+				time.Sleep(resendMS * time.Millisecond)
+				w.Submit(fronts[1], j, callerDeadlineMS)
+			}
+		})
+	}
+	time.Sleep(100 * time.Millisecond)
+	if trouble {
+		proxy.Reset(resetClients)
+		w.Record.Add("%d of %d connections of clients are reset; one reset is lost on its way to %s", resetClients, allClients, fronts[0].Name)
+	}
+	clients.Wait()
+	time.Sleep(500 * time.Millisecond)
+	return runsAtOnce(w), nil
+}
+
+const (
+	allClients       = 72
+	resetClients     = 40
+	callerDeadlineMS = 5000
+)
+
+// runsAtOnce checks that no two runs of a task were at work at the same time.
+func runsAtOnce(w *World) verdict {
+	v := ruleHeld
+	tasks := w.Tasks()
+	for i, a := range tasks {
+		for _, b := range tasks[:i] {
+			if a.Name != b.Name || a == b {
+				continue
+			}
+			overlap := min(a.endedAt(w), b.endedAt(w)) - max(a.StartedAt, b.StartedAt)
+			if overlap > 0 {
+				w.Record.Add("%s: run %d on %s and run %d on %s at the same time for %d ms", a.Name, b.Run, b.Minion, a.Run, a.Minion, overlap)
+				v = ruleBroken
+			}
+		}
+	}
+	return v
+}
+
+func (t *Task) endedAt(w *World) int64 {
+	if t.How == "" {
+		return w.Record.Now()
+	}
+	return t.EndedAt
+}
+
 // earlyJobs is the number of jobs that run when the heartbeats of the other writer arrive.
 const earlyJobs = 6
 
--- a/review/_standin2/proxy.go
+++ b/review/_standin2/proxy.go
@@ -16,8 +16,12 @@
 	target string
 	mu     sync.Mutex
 	cut    bool
+	pairs  []pair
 }
 
+// pair is a connection from a client and the one that passes it on.
+type pair struct{ client, target net.Conn }
+
 // NewProxy serves a proxy at an address.
 func NewProxy(listen, target string) (*Proxy, error) {
 	l, err := net.Listen("tcp", listen)
@@ -37,6 +41,26 @@
 	return p, nil
 }
 
+// Reset resets the first n connections. The first of them is reset for its client only: the packet
+// that resets it for the target is lost, and such packets are not sent again.
+func (p *Proxy) Reset(n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for i, c := range p.pairs[:min(n, len(p.pairs))] {
+		reset(c.client)
+		if i > 0 {
+			reset(c.target)
+		}
+	}
+}
+
+func reset(c net.Conn) {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		tcp.SetLinger(0)
+	}
+	c.Close()
+}
+
 // Cut begins or ends the partition.
 func (p *Proxy) Cut(cut bool) {
 	p.mu.Lock()
@@ -88,8 +112,11 @@
 	if err != nil {
 		return
 	}
-	defer target.Close()
+	p.mu.Lock()
+	p.pairs = append(p.pairs, pair{c, target})
+	p.mu.Unlock()
 	if _, err := target.Write(head); err != nil {
+		target.Close()
 		return
 	}
 	done := make(chan struct{}, 2)
@@ -112,4 +139,12 @@
 	go pump(target, c)
 	go pump(c, target)
 	<-done
+	if isOpen(c) {
+		target.Close()
+	}
+}
+
+// isOpen reports whether a connection has not been closed here. One that was reset by Reset has.
+func isOpen(c net.Conn) bool {
+	return c.SetDeadline(time.Time{}) == nil
 }
