Review: Case 7, a legal job of many steps makes the entries hang

Cause: placement looks through all tasks of a job for each dependency of each waiting task, on each event, on the entry's only goroutine for state.

--- a/review/_standin2/cases.go
+++ b/review/_standin2/cases.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"net/http"
 	"slices"
 	"strings"
@@ -366,6 +367,88 @@
 	return t.EndedAt
 }
 
+// jobOfManySteps: one client at each of three entries hands in a job of 64 steps of 64 small tasks, each
+// step after all earlier ones, and again after no answer, as the pages say. Ordinary jobs come all the
+// while.
+func jobOfManySteps(w *World, trouble bool) (verdict, error) {
+	fronts, _, _, err := fleet(w, 3, kind(16000, "a"), kind(16000, "a"), kind(16000, "a"))
+	if err != nil {
+		return cannotRun, err
+	}
+	if trouble {
+		for i := range fronts {
+			go submitUntilAnswered(w, fronts, i)
+		}
+	}
+	time.Sleep(2 * time.Second)
+	var clients sync.WaitGroup
+	answers := make(chan Answer, ordinaryRounds*len(fronts))
+	for range ordinaryRounds {
+		for _, p := range fronts {
+			clients.Go(func() {
+				answers <- w.Submit(p, Job{ID: newID(), Count: 2, Spec: Spec{CPU: 500, WorkMS: 60}}, 1500)
+			})
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+	clients.Wait()
+	close(answers)
+	served, failed := 0, 0
+	for a := range answers {
+		if a.State == "succeeded" {
+			served++
+		} else {
+			failed++
+		}
+	}
+	w.Record.Add("ordinary requests: %d served, %d refused or failed", served, failed)
+	if float64(failed) > maxFailedShare*float64(served+failed) {
+		return ruleBroken, nil
+	}
+	return ruleHeld, nil
+}
+
+const (
+	// maxFailedShare is the share of requests that may be refused or fail.
+	maxFailedShare = 0.6
+	// ordinaryRounds is the number of ordinary jobs for each entry, at five a second.
+	ordinaryRounds = 200
+	manySteps      = 64
+	stepTasks      = 64
+	stepTaskMS     = 50
+)
+
+// submitUntilAnswered submits a job of many steps, and again at another entry after no answer, 502 or
+// 504.
+func submitUntilAnswered(w *World, fronts []*Process, first int) {
+	var steps []any
+	for i := range manySteps {
+		step := map[string]any{"count": stepTasks, "cpu": 100, "mem-mb": 16, "estimated-ms": stepTaskMS}
+		if i > 0 {
+			step["after"] = earlierSteps(i)
+		}
+		steps = append(steps, step)
+	}
+	body, _ := json.Marshal(map[string]any{"spec": Spec{CPU: 100, WorkMS: stepTaskMS}.String(), "steps": steps, "best-effort": true})
+	id := newID()
+	for n := first; ; n++ {
+		a := w.request(http.MethodPost, fronts[n%len(fronts)], id, body, 60000)
+		if a.Err == nil && a.Status != http.StatusGatewayTimeout && a.Status != http.StatusBadGateway {
+			return
+		}
+		time.Sleep(resendMS * time.Millisecond)
+	}
+}
+
+// earlierSteps returns the numbers of all steps before step i.
+func earlierSteps(i int) []int {
+	out := make([]int, i)
+	for k := range out {
+		out[k] = k
+	}
+	return out
+}
+
 // earlyJobs is the number of jobs that run when the heartbeats of the other writer arrive.
 const earlyJobs = 6
 
--- a/review/_standin2/main.go
+++ b/review/_standin2/main.go
@@ -26,6 +26,7 @@
 var cases = map[string]caseFunc{
 	"copy":      lateCopyOfCancelledJob,
 	"many":      lateCopyAfterManyCancels,
+	"steps":     jobOfManySteps,
 	"reset":     resetLostOnItsWay,
 	"reborn":    rebornMinionOfAnotherKind,
 	"heartbeat": heartbeatOfAnotherWriter,
