--- a/review/_standin2/cases.go
+++ b/review/_standin2/cases.go
@@ -367,7 +367,7 @@
 	return t.EndedAt
 }
 
-// jobOfManySteps: one client at each of three entries hands in a job of 64 steps of 64 small tasks, each
+// jobOfManySteps: one client at each of three entries hands in a job of 40 steps of 50 small tasks, each
 // step after all earlier ones, and again after no answer, as the pages say. Ordinary jobs come all the
 // while.
 func jobOfManySteps(w *World, trouble bool) (verdict, error) {
@@ -376,7 +376,7 @@
 		return cannotRun, err
 	}
 	if trouble {
-		for i := range fronts {
+		for i := range largeClients {
 			go submitUntilAnswered(w, fronts, i)
 		}
 	}
@@ -413,9 +413,11 @@
 	maxFailedShare = 0.6
 	// ordinaryRounds is the number of ordinary jobs for each entry, at five a second.
 	ordinaryRounds = 200
-	manySteps      = 64
-	stepTasks      = 64
-	stepTaskMS     = 50
+	// largeClients is the number of clients with a job of many steps.
+	largeClients = 3
+	manySteps    = 40
+	stepTasks    = 50
+	stepTaskMS   = 200
 )
 
 // submitUntilAnswered submits a job of many steps, and again at another entry after no answer, 502 or
