runs, runner: Only a worker's answers prove who it is

Cause: the agent took the sender of the newest announcement for its worker. A later start displaced the worker, whose epoch then counted as replaced, so that its answers and heartbeats were ignored for good. The client of the worker acknowledged ends before they were handled, so that these were lost.

Ruled out: the check of the message. A service that is configured passes it, and displaces the worker in the same way.

Change: an announcement takes effect once an answer of the worker proves the id and epoch that it names. Polls and stops name the id; pending announcements are settled by the next answer, and after a refused or failed poll their senders are polled by turns. Epochs change by answers alone, ends are acknowledged after they were handled, and a worker that no poll has confirmed replaces no record and is not reported to entries.

Tests that changed: those of announcements expect Pending where an announcement alone used to change the epoch, and then pass the answer that proves it. TestPollsThatResolveNothingAreSpaced repeats the announcement, which one answer now refutes, and its worker honours the wait of a poll.

--- a/internal/place/fleet_test.go
+++ b/internal/place/fleet_test.go
@@ -92,7 +92,7 @@
 			a.speed = 0.55
 		}
 		a.entries = r.Perm(entries)[:min(entries, agentLinks)]
-		a.supervisor.Announce(runs.Worker{ID: a.name, Epoch: 1, Fleet: fleet, Capacity: jobs.Size{MilliCPU: fleetWorkerCPUs * 1000, MemoryMB: 10_000}}, 0)
+		a.supervisor.Announce(runs.Announcement{Worker: runs.Worker{ID: a.name, Epoch: 1, Fleet: fleet, Capacity: jobs.Size{MilliCPU: fleetWorkerCPUs * 1000, MemoryMB: 10_000}}}, 0)
 		a.supervisor.HandlePoll(runs.PollResult{SentEpoch: 1, Epoch: 1}, 0) // confirms the worker
 		a.supervisor.Speed = a.speed
 		f.agents = append(f.agents, a)
--- a/internal/place/paths_test.go
+++ b/internal/place/paths_test.go
@@ -23,7 +23,7 @@
 // newPathAgent returns an agent whose worker has the given number of cores and runs nothing.
 func newPathAgent(name string, cores int64) pathAgent {
 	a := pathAgent{name: name, supervisor: runs.New(1209)}
-	a.supervisor.Announce(pathWorker(cores), -1000)
+	a.supervisor.Announce(runs.Announcement{Worker: pathWorker(cores)}, -1000)
 	a.poll(-1000)
 	a.supervisor.Tick(-500)
 	a.supervisor.TakeActions()
--- a/internal/runner/busy_test.go
+++ b/internal/runner/busy_test.go
@@ -35,7 +35,7 @@
 	w := newRunningWorker()
 	a := New(Settings{Self: host.Host{Name: "a", Incarnation: "a1", Role: host.RoleAgent}, Seeds: []string{relayAddress},
 		TLS: tlsConfig(t, authority, "a", host.RoleAgent), LeaseMS: 1000, ResendMS: 1300}, w.clock, w, fakeStore{}, fakeStore{}, log)
-	a.supervisor.Announce(overlapWorker, a.clock.Now())
+	a.supervisor.Announce(runs.Announcement{Worker: overlapWorker}, a.clock.Now())
 	a.supervisor.HandlePoll(runs.PollResult{SentEpoch: 1, Epoch: 1}, a.clock.Now())
 	a.clockOffsetKnown = true
 	done := make(chan error, 3)
--- a/internal/runner/calls.go
+++ b/internal/runner/calls.go
@@ -20,6 +20,7 @@
 
 // pollResult is the result of a poll.
 type pollResult struct {
+	// result holds no answer if err is set.
 	result runs.PollResult
 	// token is the fencing token that the poll carried.
 	token int64
@@ -158,9 +159,11 @@
 	if a.polling || a.supervisor.Worker == nil || now < a.nextPollAt {
 		return
 	}
+	w := a.supervisor.NextPollTarget(now)
+	namesPresent := w.ID == a.supervisor.Worker.ID
 	wait, timeout := pollWaitMS, callTimeout(a.supervisor.FailedPolls())
 	switch {
-	case !a.supervisor.Confirmed() || a.supervisor.HasRunsOfEarlierEpoch():
+	case !a.supervisor.Confirmed() || a.supervisor.HasRunsOfEarlierEpoch() || a.supervisor.HasPendingAnnouncements():
 		wait = 0
 	case a.supervisor.RunsAtWorker() == 0:
 		wait = idlePollWaitMS
@@ -171,13 +174,12 @@
 		wait = 0 // leases can be renewed only once the worker's clock is known
 	}
 	until := clock.Millis(0)
-	if a.clockOffsetKnown && a.supervisor.RenewLeases(now) {
+	if namesPresent && a.clockOffsetKnown && a.supervisor.RenewLeases(now) {
 		a.renewedUntil = a.supervisor.GrantLease(now, a.settings.LeaseMS)
 		until = a.renewedUntil + a.clockOffset
 	}
 	a.polling = true
 	a.activeCalls++
-	w := *a.supervisor.Worker
 	go func() {
 		ctx, stop := context.WithTimeout(ctx, (wait + timeout).Duration())
 		defer stop()
@@ -186,47 +188,72 @@
 			p, err = a.worker.Poll(ctx, w, until, wait)
 			return err
 		})
-		p.SentAt, p.SentEpoch = now, w.Epoch
+		p.SentAt, p.SentID, p.SentEpoch = now, w.ID, w.Epoch
 		a.pollResults <- pollResult{result: p, token: w.Token, err: err}
 	}()
 }
 
-func (a *Agent) onPollResult(r pollResult) {
+func (a *Agent) onPollResult(ctx context.Context, r pollResult) {
 	a.activeCalls--
 	a.polling = false
 	now := a.clock.Now()
 	a.metrics.recordPoll(r.err == nil)
+	before := a.presentWorker()
 	if r.err != nil {
-		wasUnreachable := a.supervisor.Unreachable
-		// The first failed poll is repeated at once, later ones after a growing delay.
-		a.nextPollAt = now + callTimeout(a.supervisor.FailedPolls()) - minCallTimeoutMS
-		a.supervisor.HandlePollFailure(a.settings.LeaseMS, now)
-		if errors.Is(r.err, ErrFenced) {
-			a.supervisor.HandleFencedPoll(r.token)
-			a.log.Warn("the worker has seen a higher fencing token; raised", "worker", a.supervisor.Worker.ID, "token", a.supervisor.Worker.Token)
-		}
-		if a.supervisor.Unreachable && !wasUnreachable {
-			a.log.Warn("worker lost", "worker", a.supervisor.Worker.ID, "error", r.err.Error())
+		a.onPollFailure(r, now)
+	} else {
+		a.onPollAnswer(r.result, now)
+	}
+	a.logWorkerChange(before)
+	a.logRefuted(now)
+	if a.recordWriter.isAwaited() {
+		a.saveWorkerRecord(ctx)
+		a.releaseSaved()
+	}
+}
+
+// onPollFailure handles a poll that was not answered or was refused.
+func (a *Agent) onPollFailure(r pollResult, now clock.Millis) {
+	if errors.Is(r.err, ErrMisdirected) {
+		wasConfirmed := a.supervisor.Confirmed()
+		a.supervisor.HandleMisdirected(r.result.SentID, r.result.SentAt, now)
+		if !wasConfirmed || r.result.SentID != a.supervisor.Worker.ID {
+			return // that poll was no call of the present worker
 		}
-		return
 	}
+	wasUnreachable := a.supervisor.Unreachable
+	// The first failed poll is repeated at once, later ones after a growing delay.
+	a.nextPollAt = now + callTimeout(a.supervisor.FailedPolls()) - minCallTimeoutMS
+	a.supervisor.HandlePollFailure(a.settings.LeaseMS, now)
+	if errors.Is(r.err, ErrFenced) {
+		a.supervisor.HandleFencedPoll(r.token)
+		a.log.Warn("the worker has seen a higher fencing token; raised", "worker", a.supervisor.Worker.ID, "token", a.supervisor.Worker.Token)
+	}
+	if a.supervisor.Unreachable && !wasUnreachable {
+		a.log.Warn("worker lost", "worker", a.supervisor.Worker.ID, "error", r.err.Error())
+	}
+}
+
+// onPollAnswer handles an answered poll.
+func (a *Agent) onPollAnswer(p runs.PollResult, now clock.Millis) {
 	if a.supervisor.Unreachable {
 		a.log.Info("worker back", "worker", a.supervisor.Worker.ID)
 	}
-	if r.result.MalformedRows > 0 {
-		a.log.Warn("the worker listed runs that are not understood; ignored", "worker", a.supervisor.Worker.ID, "rows", r.result.MalformedRows)
+	if p.MalformedRows > 0 {
+		a.log.Warn("the worker listed runs that are not understood; ignored", "worker", a.supervisor.Worker.ID, "rows", p.MalformedRows)
 	}
-	confirmed, epoch := a.supervisor.Confirmed(), a.supervisor.Epoch()
-	a.supervisor.HandlePoll(r.result, now)
-	if r.result.Epoch == 0 || r.result.Epoch == a.supervisor.Epoch() {
-		a.setClockOffset(r.result.ClockMS)
+	confirmed, before := a.supervisor.Confirmed(), a.presentWorker()
+	a.supervisor.HandlePoll(p, now)
+	if a.presentWorker().Identity() != before.Identity() {
+		a.clockOffsetKnown = false
 	}
-	if a.supervisor.Worker != nil && a.supervisor.Epoch() != epoch {
-		a.log.Info("a poll shows a new life of the worker", "worker", a.supervisor.Worker.ID, "life", a.supervisor.Epoch(),
-			"earlier", epoch, "held", a.supervisor.Held())
+	if p.Epoch == 0 || p.Epoch == a.supervisor.Epoch() {
+		a.setClockOffset(p.ClockMS)
 	}
-	if a.supervisor.HasRunsOfEarlierEpoch() && r.result.SentEpoch == a.supervisor.Epoch() {
-		a.nextPollAt = now + cautiousPollWaitMS // an answer of another epoch resolved nothing
+	if a.supervisor.HasPendingAnnouncements() || a.supervisor.HasRunsOfEarlierEpoch() && p.SentEpoch == a.supervisor.Epoch() {
+		// An answer of another epoch resolved nothing, and one to a poll that was sent before the
+		// announcement proves nothing of it.
+		a.nextPollAt = now + cautiousPollWaitMS
 	}
 	if !confirmed && a.supervisor.Confirmed() {
 		a.onWorkerConfirmed()
--- a/internal/runner/frames.go
+++ b/internal/runner/frames.go
@@ -10,11 +10,12 @@
 
 // capacityFrame returns a report of the worker's free capacity and state. It includes the
 // worker's description if that differs from the one last reported on the link, and records
-// it as reported; the caller must send the frame.
+// it as reported; the caller must send the frame. Nothing is reported of a worker that no poll
+// has confirmed.
 func (a *Agent) capacityFrame(l *entryLink) *wire.Frame {
-	m := &wire.Room{SeenLaunch: l.lastLaunch}
+	m := &wire.Room{SeenLaunch: l.lastLaunch, Closed: a.supervisor.RefusesRuns()}
 	now := a.clock.Now()
-	if w := a.supervisor.Worker; w != nil {
+	if w := a.supervisor.Worker; a.supervisor.Confirmed() {
 		onProbation, ejected := a.supervisor.Probation(now)
 		if l.reportedWorker == nil || !l.reportedWorker.SameExceptDraining(*w) {
 			m.Worker = &wire.RoomWorker{Id: w.ID, Fleet: w.Fleet, Labels: w.Labels, Capacity: link.EncodeSize(w.Capacity)}
@@ -22,7 +23,6 @@
 		}
 		m.Free = link.EncodeSize(a.supervisor.Free())
 		m.Speed = a.supervisor.Speed
-		m.Closed = a.supervisor.RefusesRuns()
 		m.Resting = ejected
 		m.Trial = onProbation // set during an ejection as well
 		m.Stalled = a.supervisor.Stalled()
--- a/internal/runner/lease_test.go
+++ b/internal/runner/lease_test.go
@@ -32,7 +32,7 @@
 	newSupervisor := func() *runs.Supervisor {
 		a := New(Settings{Self: host.Host{Name: "a"}, LeaseMS: 1000, ResendMS: 1300}, clock.New(), nil,
 			fakeStore{}, fakeStore{}, slog.New(slog.NewTextHandler(io.Discard, nil)))
-		a.supervisor.Announce(runs.Worker{ID: "w", Epoch: 1, Fleet: "f", Capacity: jobs.Size{MilliCPU: 4000}}, 0)
+		a.supervisor.Announce(runs.Announcement{Worker: runs.Worker{ID: "w", Epoch: 1, Fleet: "f", Capacity: jobs.Size{MilliCPU: 4000}}}, 0)
 		a.supervisor.HandlePoll(runs.PollResult{SentEpoch: 1, Epoch: 1}, 0)
 		a.supervisor.RecordContact("gone", 1000)
 		a.supervisor.RecordContact("lives", 1900)
@@ -179,19 +179,20 @@
 	}
 }
 
-// unchangedWorker answers every poll after a millisecond, always in epoch 1, and counts them.
+// unchangedWorker answers every poll after a millisecond or, if that is longer, the time that the
+// poll waits for a run to end, always in epoch 1, and counts the polls.
 type unchangedWorker struct {
 	answeringWorker
 	polls chan struct{}
 }
 
-func (w unchangedWorker) Poll(context.Context, runs.Worker, clock.Millis, clock.Millis) (runs.PollResult, error) {
+func (w unchangedWorker) Poll(_ context.Context, _ runs.Worker, _, wait clock.Millis) (runs.PollResult, error) {
 	w.polls <- struct{}{}
-	time.Sleep(time.Millisecond)
+	time.Sleep(max(time.Millisecond, wait.Duration()))
 	return runs.PollResult{ClockMS: 1, Epoch: 1}, nil
 }
 
-// An announcement may name an epoch that the worker's answers never confirm. The agent must not
+// Announcements may go on naming epochs that the worker's answers never confirm. The agent must not
 // poll without a pause for as long as that lasts.
 func TestPollsThatResolveNothingAreSpaced(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -199,16 +200,16 @@
 		a := New(Settings{Self: host.Host{Name: "a"}, LeaseMS: 1000, ResendMS: 1300}, clock.New(), w,
 			fakeStore{}, fakeStore{}, slog.New(slog.NewTextHandler(io.Discard, nil)))
 		known := runs.Worker{ID: "w", Epoch: 1, Fleet: "f", Capacity: jobs.Size{MilliCPU: 1}}
-		a.supervisor.Announce(known, a.clock.Now())
+		a.supervisor.Announce(runs.Announcement{Worker: known}, a.clock.Now())
 		a.supervisor.HandlePoll(runs.PollResult{SentEpoch: 1, Epoch: 1}, a.clock.Now())
 		a.supervisor.Launch([]runs.Run{{Ref: jobs.TaskRef{Job: "j"}, Number: 1, Entry: "e"}}, a.clock.Now())
-		other := known
-		other.Epoch = 2
-		a.supervisor.Announce(other, a.clock.Now())
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan error, 1)
 		go func() { done <- a.Run(ctx) }()
-		time.Sleep(time.Second)
+		for other := known; other.Epoch <= 100; time.Sleep(10 * time.Millisecond) {
+			other.Epoch++
+			a.Announce(ctx, Announcement{Worker: other, Handled: make(chan struct{})})
+		}
 		cancel()
 		<-done
 		require.LessOrEqual(t, len(w.polls), 60)
--- a/internal/runner/logs.go
+++ b/internal/runner/logs.go
@@ -10,6 +10,27 @@
 	"github.com/turmericbarrow/turmericbarrow/internal/runs"
 )
 
+// refutedLogMS is the shortest interval between two log lines on refuted announcements.
+const refutedLogMS = 10 * clock.Second
+
+// logRefuted counts the refuted announcements, and logs the last one at most every refutedLogMS.
+func (a *Agent) logRefuted(now clock.Millis) {
+	refuted := a.supervisor.TakeRefuted()
+	a.refutedCount += len(refuted)
+	a.metrics.recordRefuted(len(refuted))
+	if len(refuted) == 0 || a.refutedLoggedAt > 0 && now-a.refutedLoggedAt < refutedLogMS {
+		return
+	}
+	last := refuted[len(refuted)-1]
+	present := runs.Identity{}
+	if w := a.supervisor.Worker; w != nil {
+		present = w.Identity()
+	}
+	a.log.Warn("the worker's answers refute an announcement; ignored", "announced", last.ID, "announced_life", last.Epoch,
+		"announced_fleet", last.Fleet, "worker", present.ID, "life", present.Epoch, "refuted", a.refutedCount)
+	a.refutedCount, a.refutedLoggedAt = 0, now
+}
+
 // contactAge returns the time since the last proof that an entry was alive, or -1 without one.
 func (a *Agent) contactAge(entry string) int64 {
 	at, known := a.supervisor.LastContact(entry)
--- a/internal/runner/logs_test.go
+++ b/internal/runner/logs_test.go
@@ -32,7 +32,7 @@
 func newLoggingAgent(out io.Writer) *Agent {
 	log := slog.New(slog.NewJSONHandler(out, &slog.HandlerOptions{Level: dlog.LevelOrdinary}))
 	a := New(Settings{Self: host.Host{Name: "a"}, LeaseMS: 1000, ResendMS: 1300}, clock.New(), halfDoneWorker{}, fakeStore{}, fakeStore{}, log)
-	a.supervisor.Announce(runs.Worker{ID: "w", Epoch: 1, Capacity: jobs.Size{MilliCPU: 1}}, a.clock.Now())
+	a.supervisor.Announce(runs.Announcement{Worker: runs.Worker{ID: "w", Epoch: 1, Capacity: jobs.Size{MilliCPU: 1}}}, a.clock.Now())
 	a.supervisor.HandlePoll(runs.PollResult{SentEpoch: 1, Epoch: 1}, a.clock.Now())
 	l, _ := link.NewUnconnected(host.Host{Name: "entry-1", Incarnation: "e"})
 	a.links["e"] = &entryLink{link: l}
@@ -52,7 +52,7 @@
 		}
 		time.Sleep(700 * time.Millisecond)
 		a.poll(ctx)
-		a.onPollResult(<-a.pollResults)
+		a.onPollResult(ctx, <-a.pollResults)
 		a.performActions(ctx)
 		a.onLinkDown(link.Event{Link: a.links["e"].link})
 		a.supervisor.Tick(a.clock.Now() + runs.DisconnectGraceMS)
--- a/internal/runner/metrics.go
+++ b/internal/runner/metrics.go
@@ -38,6 +38,10 @@
 	m.set.GetOrCreateCounter("turmericbarrow_unexpected_errors_total").Inc()
 }
 
+func (m *Metrics) recordRefuted(n int) {
+	m.set.GetOrCreateCounter("turmericbarrow_announcements_refuted_total").Add(n)
+}
+
 func (m *Metrics) recordOffer() {
 	m.set.GetOrCreateCounter("turmericbarrow_offers_total").Inc()
 }
--- a/internal/runner/offers_test.go
+++ b/internal/runner/offers_test.go
@@ -30,7 +30,7 @@
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
 	a := offeringAgent{sent: map[string]func() []*wire.Frame{},
 		Agent: New(Settings{Self: host.Host{Name: "a"}, LeaseMS: 1000, ResendMS: 1300}, clock.New(), halfDoneWorker{}, fakeStore{}, fakeStore{}, log)}
-	a.supervisor.Announce(runs.Worker{ID: "w", Epoch: 1, Capacity: fullRun.Size}, a.clock.Now())
+	a.supervisor.Announce(runs.Announcement{Worker: runs.Worker{ID: "w", Epoch: 1, Capacity: fullRun.Size}}, a.clock.Now())
 	a.supervisor.HandlePoll(runs.PollResult{SentEpoch: 1, Epoch: 1}, a.clock.Now())
 	for _, e := range append(entries, "owner") {
 		l, sent := link.NewUnconnected(host.Host{Name: e, Incarnation: e})
--- a/internal/runner/overlap_test.go
+++ b/internal/runner/overlap_test.go
@@ -39,13 +39,17 @@
 	next := overlapWorker
 	next.Epoch = 2
 	earlier := runs.Run{Ref: jobs.TaskRef{Job: "j"}, Number: 1, Entry: "e", Epoch: 1}
-	a.updateWorker(Announcement{Worker: next, Sequence: 1, ClockMS: 10}, a.clock.Now())
+	a.announce(Announcement{Worker: next, Sequence: 1, ClockMS: 10}, a.clock.Now())
+	a.activeCalls++
+	a.onPollResult(t.Context(), pollResult{result: runs.PollResult{ClockMS: 10, SentAt: a.clock.Now(), SentEpoch: 1, Epoch: 2}})
+	require.Equal(t, next.Identity(), a.supervisor.Worker.Identity())
 	offset := a.clockOffset
+	require.InDelta(t, int64(10-a.clock.Now()), int64(offset), 100)
 	a.activeCalls++
 	a.onStartResult(startResult{run: earlier, outcome: runs.StartOK, clockMS: 500_000})
 	require.InDelta(t, int64(offset), int64(a.clockOffset), 100, "an answered start")
 	a.activeCalls++
-	a.onPollResult(pollResult{result: runs.PollResult{ClockMS: 500_000, Epoch: 1, SentEpoch: 1}})
+	a.onPollResult(t.Context(), pollResult{result: runs.PollResult{ClockMS: 500_000, Epoch: 1, SentEpoch: 1}})
 	require.InDelta(t, int64(offset), int64(a.clockOffset), 100, "an answered poll")
 }
 
--- a/internal/runner/record.go
+++ b/internal/runner/record.go
@@ -33,6 +33,8 @@
 	// hold either this worker or the one of the failed write.
 	saved      *runs.Worker
 	savedKnown bool
+	// loading is set while the record is read.
+	loading bool
 	// saving is set while a write is in flight; savingWorker is the worker being written.
 	saving       bool
 	savingWorker *runs.Worker
@@ -60,6 +62,11 @@
 	r.awaiting = append(r.awaiting, awaitedSave{handled: handled, since: now})
 }
 
+// isAwaited reports whether an announcement waits for a write.
+func (r *recordWriter) isAwaited() bool {
+	return len(r.awaiting) > 0
+}
+
 // release acknowledges all announcements that wait for a write.
 func (r *recordWriter) release() {
 	for _, w := range r.awaiting {
@@ -82,6 +89,7 @@
 
 // loadWorkerRecord reads the record that an earlier agent process left.
 func (a *Agent) loadWorkerRecord(ctx context.Context) {
+	a.recordWriter.loading = true
 	a.activeCalls++
 	go func() {
 		var w *runs.Worker
@@ -98,10 +106,14 @@
 
 func (a *Agent) onWorkerRecordLoaded(w *runs.Worker) {
 	a.activeCalls--
-	if w == nil || a.supervisor.Worker != nil {
+	a.recordWriter.loading = false
+	if w == nil {
 		return
 	}
 	a.recordWriter.saved, a.recordWriter.savedKnown = w, true
+	if a.supervisor.Confirmed() {
+		return
+	}
 	a.log.Info("worker known from its record", "worker", w.ID, "life", w.Epoch, "fleet", w.Fleet)
 	a.supervisor.Restore(*w)
 }
@@ -124,11 +136,14 @@
 }
 
 // workerToRecord returns the worker to be recorded, or nil if there is none or it has
-// deregistered. A restored worker is the recorded one until it announces itself.
+// deregistered. Until a poll has confirmed the worker, it replaces no record.
 func (a *Agent) workerToRecord() *runs.Worker {
-	if a.supervisor.Worker == nil || a.workerGone {
+	if a.supervisor.Worker == nil || a.supervisor.Departed {
 		return nil
 	}
+	if writer := a.recordWriter; !a.supervisor.Confirmed() && (writer.loading || writer.saved != nil) {
+		return writer.saved
+	}
 	w := *a.supervisor.Worker
 	return &w
 }
@@ -150,7 +165,22 @@
 		return
 	}
 	writer.saved, writer.savedKnown = writer.savingWorker, true
-	if !writer.unsaved(a.workerToRecord()) {
-		writer.release()
+	a.releaseSaved()
+}
+
+// releaseSaved acknowledges the announcements that wait for the record, if that is written.
+func (a *Agent) releaseSaved() {
+	if a.isRecorded() {
+		a.recordWriter.release()
+	}
+}
+
+// isRecorded reports whether the record is that of the present worker, and no answer of the worker
+// is awaited that may change it.
+func (a *Agent) isRecorded() bool {
+	present := a.supervisor.Worker
+	if a.supervisor.Departed {
+		present = nil
 	}
+	return !a.supervisor.HasPendingAnnouncements() && !a.recordWriter.loading && !a.recordWriter.unsaved(present)
 }
--- a/internal/runner/restarted_test.go
+++ b/internal/runner/restarted_test.go
@@ -24,7 +24,7 @@
 	a := New(Settings{Self: host.Host{Name: "a"}, LeaseMS: 1000, ResendMS: 1300}, clock.New(), w,
 		fakeStore{}, fakeStore{}, slog.New(slog.NewTextHandler(io.Discard, nil)))
 	now := a.clock.Now()
-	a.supervisor.Announce(overlapWorker, now)
+	a.supervisor.Announce(runs.Announcement{Worker: overlapWorker}, now)
 	a.supervisor.HandlePoll(runs.PollResult{SentEpoch: 1, Epoch: 1}, now)
 	a.supervisor.Tick(now + clock.Second) // the claim window is over
 	a.clockOffset, a.clockOffsetKnown = 1000-now, true
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -33,29 +33,35 @@
 	// Stop requests the end of a run.
 	Stop(ctx context.Context, w runs.Worker, ref jobs.TaskRef, number int64) error
 	// Poll renews all leases until leaseUntil on the worker's clock, unless that is zero, and
-	// acknowledges the ended runs that earlier polls returned, which the worker then drops.
+	// acknowledges the ended runs up to w.AckedEnd, which the worker then drops.
 	// It returns the running and the ended runs, after waiting up to wait for a run to end, and
-	// an error that wraps ErrFenced if the worker has seen a higher fencing token.
+	// an error that wraps ErrFenced if the worker has seen a higher fencing token, or
+	// ErrMisdirected if the worker at the address has another id than w.
 	Poll(ctx context.Context, w runs.Worker, leaseUntil, wait clock.Millis) (runs.PollResult, error)
 }
 
 // ErrFenced is the error of a call that a worker refused for its fencing token.
 var ErrFenced = errors.New("the worker has seen a higher fencing token")
 
+// ErrMisdirected is the error of a call that was refused because it names another worker than
+// the one at the address.
+var ErrMisdirected = errors.New("another worker is at the address")
+
 // Clock returns the current time.
 type Clock interface {
 	Now() clock.Millis
 }
 
-// Announcement is a worker's description of itself.
+// Announcement is a worker's description of itself, or its deregistration. Anybody may have
+// sent it; see runs.Announcement.
 type Announcement struct {
 	Worker runs.Worker
-	// Sequence increases with each announcement of a worker in one epoch. An announcement
-	// that arrives late has a lower number than one before it.
+	// Sequence increases with each announcement of a worker in one epoch.
 	Sequence int64
 	// ClockMS is the time on the worker's clock.
 	ClockMS clock.Millis
-	// Gone is set when the worker deregisters.
+	// Gone is set when the worker deregisters. Of Worker only the identity is then valid, whose
+	// epoch is zero if the deregistration names none.
 	Gone bool
 	// Handled is closed once the agent has applied the announcement; only then may the
 	// announcement be acknowledged to the worker.
@@ -179,8 +185,10 @@
 	// drains is the newest set of drained zones that an entry has sent.
 	drains       zone.Drains
 	recordWriter *recordWriter
-	// workerGone is set while the last announcement is that the worker deregistered.
-	workerGone bool
+	// refutedCount is the number of refuted announcements since the last log line on them, at
+	// refutedLoggedAt.
+	refutedCount    int
+	refutedLoggedAt clock.Millis
 }
 
 // resendFraction times Settings.ResendMS is how long after the last contact with an entry the
@@ -290,7 +298,7 @@
 		case r := <-a.startResults:
 			handle = func() { a.onStartResult(r) }
 		case r := <-a.pollResults:
-			handle = func() { a.onPollResult(r) }
+			handle = func() { a.onPollResult(ctx, r) }
 		case r := <-a.stopResults:
 			handle = func() { a.onStopResult(r) }
 		case list := <-a.entryLists:
@@ -466,8 +474,9 @@
 	stalled     bool
 }
 
-// onAnnouncement applies a worker's announcement. That a worker drains is acknowledged once it
-// is recorded, so that the next process of this agent does not use the worker again.
+// onAnnouncement handles an announcement. That a worker drains is acknowledged once it is recorded,
+// so that the next process of this agent does not use the worker again, or once the worker's
+// answer has refuted the announcement.
 func (a *Agent) onAnnouncement(ctx context.Context, m Announcement) {
 	now := a.clock.Now()
 	handled := true
@@ -476,41 +485,65 @@
 			close(m.Handled)
 		}
 	}()
-	switch known := a.supervisor.Worker; {
-	case m.Gone && known != nil && known.ID != m.Worker.ID:
-		return // the deregistration of an earlier worker arrived late
+	before := a.presentWorker()
+	switch {
 	case m.Gone:
-		a.workerGone = true
-		a.supervisor.StopAccepting(now)
+		if !a.supervisor.Deregister(m.Worker.Identity(), now) {
+			return // the deregistration of an earlier worker arrived late, or another one sent it
+		}
 		a.log.Info("worker left", "worker", m.Worker.ID)
-	case a.supervisor.AcceptAnnouncement(m.Worker, m.Sequence):
-		a.updateWorker(m, now)
-	default:
+		a.reportCapacity()
+	case !a.announce(m, now):
 		return
 	}
-	a.reportCapacity()
-	if m.Worker.Draining && a.recordWriter.unsaved(a.workerToRecord()) {
+	a.logWorkerChange(before)
+	if m.Worker.Draining && !a.isRecorded() {
 		a.recordWriter.awaitSave(m.Handled, now)
 		a.saveWorkerRecord(ctx)
 		handled = false
 	}
 }
 
-func (a *Agent) updateWorker(m Announcement, now clock.Millis) {
-	old := a.supervisor.Worker
-	if !m.Worker.Draining || old == nil || old.Epoch != m.Worker.Epoch {
-		// A worker announces that it drains before it leaves, so this one has not left.
-		a.workerGone = false
-		a.supervisor.StoppedAccepting = a.drainDeadline > 0
+// announce passes an announcement to the supervisor, and reports whether it may change anything. A
+// pending one is settled by the answer to the next poll.
+func (a *Agent) announce(m Announcement, now clock.Millis) bool {
+	wasKnown := a.supervisor.Worker != nil
+	switch a.supervisor.Announce(runs.Announcement{Worker: m.Worker, Sequence: m.Sequence, ClockMS: m.ClockMS}, now) {
+	case runs.Ignored:
+		return false
+	case runs.Pending:
+		a.nextPollAt = min(a.nextPollAt, now+cautiousPollWaitMS)
+	case runs.Applied:
+		if !wasKnown {
+			a.clockOffsetKnown = false
+			a.nextPollAt = now
+		}
+		a.reportCapacity()
+	}
+	return true
+}
+
+// presentWorker returns the present worker, or the zero value without one.
+func (a *Agent) presentWorker() runs.Worker {
+	if a.supervisor.Worker == nil {
+		return runs.Worker{}
 	}
-	if old == nil || old.Epoch != m.Worker.Epoch {
-		a.log.Info("worker up", "worker", m.Worker.ID, "life", m.Worker.Epoch, "fleet", m.Worker.Fleet,
-			"milli_cpu", m.Worker.Capacity.MilliCPU)
-		a.clockOffset, a.clockOffsetKnown = m.ClockMS-now, true
-		a.nextPollAt = now
+	return *a.supervisor.Worker
+}
+
+// logWorkerChange logs what has changed of the worker since before.
+func (a *Agent) logWorkerChange(before runs.Worker) {
+	w := a.presentWorker()
+	switch {
+	case w.Identity() == before.Identity():
+	case a.supervisor.IsAnnounced():
+		a.log.Info("worker up", "worker", w.ID, "life", w.Epoch, "fleet", w.Fleet, "milli_cpu", w.Capacity.MilliCPU,
+			"confirmed", a.supervisor.Confirmed())
+	case w.ID != "":
+		a.log.Info("a poll shows a new life of the worker", "worker", w.ID, "life", w.Epoch, "earlier", before.Epoch,
+			"held", a.supervisor.Held())
 	}
-	if m.Worker.Draining && (old == nil || !old.Draining) {
-		a.log.Info("worker draining", "worker", m.Worker.ID, "held", a.supervisor.Held())
+	if w.Draining && !before.Draining {
+		a.log.Info("worker draining", "worker", w.ID, "held", a.supervisor.Held())
 	}
-	a.supervisor.Announce(m.Worker, now)
 }
--- a/internal/runs/drains_test.go
+++ b/internal/runs/drains_test.go
@@ -122,7 +122,7 @@
 	s := newSupervisor()
 	s.SetZoneDrained(true, 0)
 	next := Worker{ID: "w", Epoch: 2, Fleet: "f", Capacity: cores(8)}
-	s.Announce(next, 1)
+	s.Announce(Announcement{Worker: next}, 1)
 	s.HandlePoll(PollResult{ClockMS: 2, SentAt: 1, SentEpoch: 2, Epoch: 2}, 2)
 	s.Launch([]Run{newRun(entryA, "a", 0, 0)}, 3)
 	s.Tick(4)
--- a/internal/runs/epochs.go
+++ b/internal/runs/epochs.go
@@ -6,47 +6,6 @@
 	"github.com/turmericbarrow/turmericbarrow/internal/clock"
 )
 
-// AcceptAnnouncement reports whether an announcement is newer than the one before, and if so
-// records its sequence number. Announcements may arrive late: those of a retired epoch and
-// those with a lower sequence number are to be ignored. The sequence numbers of two workers
-// with the same epoch can't be compared, so that another worker counts as newer. A lower
-// epoch counts as newer only once a poll has confirmed it.
-func (s *Supervisor) AcceptAnnouncement(w Worker, sequence int64) bool {
-	old := s.Worker
-	newer := old == nil || w.Epoch > old.Epoch && !slices.Contains(s.retiredEpochs, w.Epoch)
-	if old != nil && w.Epoch == old.Epoch {
-		newer = w.ID != old.ID || sequence > s.announced
-	}
-	if newer {
-		s.announced = sequence
-	}
-	return newer
-}
-
-// Announce updates the worker from its announcement.
-func (s *Supervisor) Announce(w Worker, now clock.Millis) {
-	old := s.Worker
-	s.Worker = &w
-	switch {
-	case old == nil:
-		// The worker stays unconfirmed until a poll has listed the runs that an earlier agent
-		// process started.
-		s.unconfirmed = true
-		s.epochSince = now
-		w.Token = s.nextToken(w.Epoch)
-		s.NotifyNow = true
-	case old.Epoch != w.Epoch:
-		s.startNewEpoch(old.Epoch, now)
-	default:
-		w.Token = old.Token
-		s.NotifyNow = s.NotifyNow || old.Draining != w.Draining || old.Capacity != w.Capacity || old.Fleet != w.Fleet
-	}
-	if w.Draining {
-		s.returnQueued(now)
-	}
-	s.startQueued(now)
-}
-
 // Epoch returns the worker's present epoch, or zero without a worker.
 func (s *Supervisor) Epoch() int64 {
 	if s.Worker == nil {
@@ -55,13 +14,17 @@
 	return s.Worker.Epoch
 }
 
-// acceptEpoch reports whether a poll belongs to the worker's present epoch or to another one
-// that has replaced it. The answer to a poll shows which epoch is at the worker's address, even
+// acceptIdentity reports whether the answer to a poll is of the worker's present life or of
+// another one that has replaced it. The answer shows which epoch is at the worker's address, even
 // if its number is lower: epochs are times of day, and the clock of a host may step back between
 // two starts of its worker. An answer to a poll that was sent before the present epoch was known
 // may be out of date, and an epoch that was replaced once does not return.
-func (s *Supervisor) acceptEpoch(p PollResult, now clock.Millis) bool {
-	if s.Worker == nil || p.Epoch == 0 || p.Epoch == s.Worker.Epoch {
+func (s *Supervisor) acceptIdentity(p PollResult, now clock.Millis) bool {
+	if p.SentID != "" && p.SentID != s.Worker.ID {
+		s.replaceWorker(p, now)
+		return true
+	}
+	if p.Epoch == 0 || p.Epoch == s.Worker.Epoch {
 		return true
 	}
 	if p.Epoch < s.Worker.Epoch && p.SentAt <= s.epochSince || slices.Contains(s.retiredEpochs, p.Epoch) {
@@ -69,11 +32,24 @@
 	}
 	earlier := s.Worker.Epoch
 	s.Worker.Epoch = p.Epoch
-	s.announced = -1
 	s.startNewEpoch(earlier, now)
 	return true
 }
 
+// replaceWorker makes the worker that has answered a poll under another id the present one. It
+// has no capacity until an announcement of it is applied.
+func (s *Supervisor) replaceWorker(p PollResult, now clock.Millis) {
+	w := Worker{ID: p.SentID, Epoch: p.Epoch}
+	for _, m := range s.pending {
+		if m.Worker.ID == w.ID && w.Epoch == 0 {
+			w.Epoch = m.Worker.Epoch // the answer names no epoch
+		}
+	}
+	earlier := s.Worker.Epoch
+	s.Worker = &w
+	s.startNewEpoch(earlier, now)
+}
+
 // maxRetiredEpochs is the number of past epochs whose late announcements are recognized.
 const maxRetiredEpochs = 16
 
@@ -92,7 +68,8 @@
 // was known here.
 func (s *Supervisor) startNewEpoch(earlier int64, now clock.Millis) {
 	s.retireEpoch(earlier, now)
-	s.Worker.Token = s.nextToken(s.Worker.Epoch)
+	s.Worker.Token, s.Worker.AckedEnd = s.nextToken(s.Worker.Epoch), 0
+	s.announced = -1
 	for _, run := range s.runs {
 		run.StopAckedAt = 0
 		run.MissingSince = 0
--- a/internal/runs/orphans.go
+++ b/internal/runs/orphans.go
@@ -28,17 +28,21 @@
 // not renewed after it until the orphaned runs have ended.
 const claimWindowMS clock.Millis = 250
 
-// Restore sets the worker that an earlier agent process recorded in the store, unless one
-// has already announced itself. The worker accepts no runs until a poll has confirmed its
-// epoch and each run that it still executes has been claimed by an entry or, once
-// claimWindowMS have passed, been sent a stop.
+// Restore sets the worker that an earlier agent process recorded in the store. If one has
+// already announced itself and is unconfirmed, the recorded one is kept as if it had announced
+// itself too. The worker accepts no runs until a poll has confirmed its epoch and each run that
+// it still executes has been claimed by an entry or, once claimWindowMS have passed, been sent a
+// stop.
 func (s *Supervisor) Restore(w Worker) {
+	if s.Confirmed() {
+		return
+	}
+	m := Announcement{Worker: w, Sequence: -1}
 	if s.Worker != nil {
+		s.await(m, 0)
 		return
 	}
-	w.Token = s.nextToken(w.Epoch)
-	s.Worker = &w
-	s.unconfirmed = true
+	s.introduce(m, 0)
 }
 
 // Confirmed reports whether there is a worker whose epoch and runs a poll has confirmed.
@@ -47,18 +51,22 @@
 }
 
 // confirm compares the epoch of a worker's first poll, if it names one, with the worker's record
-// or announcement, and opens the claim window if they agree. Otherwise it drops the worker, whose next announcement
-// describes the new epoch. It reports whether the poll can be used.
+// or announcement, and opens the claim window if they agree. Otherwise it drops the worker for the
+// sender of a pending announcement, which the same poll may confirm. Without one the next
+// announcement describes the new epoch. It reports whether the poll can be used.
 func (s *Supervisor) confirm(p PollResult, now clock.Millis) bool {
 	if !s.unconfirmed {
 		return true
 	}
-	s.unconfirmed = false
-	s.NotifyNow = true
 	if p.Epoch != 0 && p.Epoch != s.Worker.Epoch {
-		s.Worker = nil
-		return false
+		proved := Identity{ID: s.Worker.ID, Epoch: p.Epoch}
+		s.introducePending(p.Epoch, now)
+		if s.Worker == nil || s.Worker.Identity() != proved {
+			return false
+		}
 	}
+	s.unconfirmed = false
+	s.NotifyNow = true
 	s.claimUntil = now + claimWindowMS
 	return true
 }
--- a/internal/runs/orphans_test.go
+++ b/internal/runs/orphans_test.go
@@ -47,7 +47,7 @@
 	s.Restore(testWorker)
 	next := testWorker
 	next.Epoch = 2
-	s.Announce(next, 6)
+	s.Announce(Announcement{Worker: next}, 6)
 	require.False(t, s.Confirmed(), "an earlier process may have started runs in the new epoch")
 	s.HandlePoll(PollResult{ClockMS: 7, SentAt: 6, SentEpoch: 2, Epoch: 2}, 7)
 	require.True(t, s.Confirmed())
@@ -57,7 +57,7 @@
 // An answer without an epoch says nothing against the announced one.
 func TestFirstPollWithoutEpochConfirmsTheWorker(t *testing.T) {
 	s := New(contactLeaseMS)
-	s.Announce(testWorker, 0)
+	s.Announce(Announcement{Worker: testWorker}, 0)
 	s.HandlePoll(PollResult{ClockMS: 5, SentAt: 1, SentEpoch: 1}, 5)
 	require.True(t, s.Confirmed())
 }
@@ -66,7 +66,7 @@
 // starts while the store is away and learns of its worker by an announcement.
 func TestAnnouncedWorkerIsNotUsedBeforeItsRunsAreListed(t *testing.T) {
 	s := New(contactLeaseMS)
-	s.Announce(testWorker, 0)
+	s.Announce(Announcement{Worker: testWorker}, 0)
 	require.False(t, s.RenewLeases(0))
 	s.Launch([]Run{newRun(entryA, "b", 0, 0)}, 1)
 	require.Equal(t, jobs.OutcomeNotRun, takeEnds(s)[0].Outcome)
--- a/internal/runs/overlap_test.go
+++ b/internal/runs/overlap_test.go
@@ -83,7 +83,7 @@
 	answerStart(s, ref("a", 0), entryA, StartOK, 1)
 	next := *s.Worker
 	next.Epoch = 2
-	s.Announce(next, 10)
+	s.Announce(Announcement{Worker: next}, 10)
 	s.HandlePoll(PollResult{ClockMS: 12, SentAt: 11, SentEpoch: 2, Epoch: 2, MalformedRows: 1}, 13)
 	require.Empty(t, takeEnds(s), "the row may be that of the run")
 }
@@ -159,7 +159,7 @@
 	s := launchSupersededRun(t)
 	w := *s.Worker
 	w.Draining = true
-	s.Announce(w, 15)
+	s.Announce(Announcement{Worker: w, Sequence: 1}, 15)
 	require.Empty(t, takeEnds(s), "the worker has not ended the earlier run yet")
 }
 
--- a/internal/runs/polls.go
+++ b/internal/runs/polls.go
@@ -32,6 +32,9 @@
 	ClockMS clock.Millis
 	// SentAt is when the poll was sent, on the agent's clock.
 	SentAt clock.Millis
+	// SentID is the id of the worker that the poll names, which alone answers it. Without one it
+	// names the present worker.
+	SentID string
 	// SentEpoch is the epoch whose fencing token the poll carried. Once it is answered, the
 	// worker executes no call of an earlier epoch.
 	SentEpoch int64
@@ -39,19 +42,22 @@
 	Epoch   int64
 	Running []RunID
 	Ended   []EndedRun
+	// LastEnd is the highest number of an end that the answer lists; zero without one.
+	LastEnd int64
 	// MalformedRows counts the rows of the answer that could not be decoded.
 	MalformedRows int
 }
 
-// HandlePoll updates the worker and all runs from an answered poll. It ignores the answer
-// of an earlier epoch.
+// HandlePoll updates the worker and all runs from an answered poll, and settles the pending
+// announcements. It ignores the answer of an earlier epoch.
 func (s *Supervisor) HandlePoll(p PollResult, now clock.Millis) {
-	if !s.confirm(p, now) || !s.acceptEpoch(p, now) {
+	if !s.confirm(p, now) || !s.acceptIdentity(p, now) {
 		return
 	}
 	s.updateOrphans(p)
-	s.failedPolls = 0
-	s.lastPollAt = now
+	s.failedPolls, s.doubted = 0, false
+	s.lastPollAt, s.answeredClockMS = now, p.ClockMS
+	s.Worker.AckedEnd = max(s.Worker.AckedEnd, p.LastEnd)
 	if s.Unreachable {
 		s.Unreachable = false
 		s.NotifyNow = true
@@ -65,6 +71,7 @@
 		s.handleRunning(id, now)
 	}
 	s.resolveUnlisted(p, listed, now)
+	s.settlePending(p, now)
 	s.stopOrphans(now)
 	s.startQueued(now)
 }
@@ -162,6 +169,9 @@
 	}
 	s.failedPolls++
 	s.unansweredAt = now
+	s.doubted = true
+	// The worker may have started anew meanwhile, and numbers its ends from 1 again.
+	s.Worker.AckedEnd = 0
 	if !s.unresponsive(now) {
 		return
 	}
--- a/internal/runs/releases_test.go
+++ b/internal/runs/releases_test.go
@@ -14,7 +14,7 @@
 // of one core for each expected run time.
 func newBusySupervisor(expected ...clock.Millis) *Supervisor {
 	s := New(10_000)
-	s.Announce(Worker{ID: "w", Epoch: 1, Fleet: "f", Capacity: jobs.Size{MilliCPU: 10_000}}, 0)
+	s.Announce(Announcement{Worker: Worker{ID: "w", Epoch: 1, Fleet: "f", Capacity: jobs.Size{MilliCPU: 10_000}}}, 0)
 	s.HandlePoll(PollResult{SentEpoch: 1, Epoch: 1}, 0)
 	s.Speed = 2
 	s.recordSize(jobs.Size{MilliCPU: 2000}, 0)
--- a/internal/runs/run.go
+++ b/internal/runs/run.go
@@ -15,7 +15,10 @@
 	Epoch int64
 	// Token is the fencing token of all calls in this epoch. It is above those of the earlier
 	// epochs that this process has known.
-	Token    int64
+	Token int64
+	// AckedEnd is the number of the last end of this epoch that was handled, which polls
+	// acknowledge; zero after a failed poll.
+	AckedEnd int64
 	Fleet    string
 	Labels   []string
 	Capacity jobs.Size
--- a/internal/runs/starts.go
+++ b/internal/runs/starts.go
@@ -51,7 +51,7 @@
 // the worker is missing, unconfirmed, draining, deregistered, unreachable or executing orphaned
 // runs.
 func (s *Supervisor) RefusesRuns() bool {
-	return s.StoppedAccepting || s.ZoneDrained || s.Worker == nil || s.unconfirmed || s.Worker.Draining || s.Unreachable || s.HasRunningOrphans()
+	return s.StoppedAccepting || s.Departed || s.ZoneDrained || s.Worker == nil || s.unconfirmed || s.Worker.Draining || s.Unreachable || s.HasRunningOrphans()
 }
 
 // returnQueued ends the queued runs as not run, but for those that wait for an earlier run.
--- a/internal/runs/supervisor.go
+++ b/internal/runs/supervisor.go
@@ -19,8 +19,11 @@
 	Worker *Worker
 	// Speed is the ratio of the callers' estimates to the actual run times; above zero.
 	Speed float64
-	// StoppedAccepting is set while the agent drains and after its worker has deregistered.
+	// StoppedAccepting is set while the agent drains.
 	StoppedAccepting bool
+	// Departed is set after the worker has deregistered, until an announcement shows that it
+	// is there.
+	Departed bool
 	// ZoneDrained is set while the zone of the worker is drained. SetZoneDrained sets it.
 	ZoneDrained bool
 	// FailedJobs counts the consecutive failed jobs since the last success.
@@ -93,6 +96,18 @@
 	token int64
 	// announced is the sequence number of the last announcement of the present epoch, or -1.
 	announced int64
+	// answeredClockMS is the time on the worker's clock in the last answered poll; zero if that
+	// is not known.
+	answeredClockMS clock.Millis
+	// pending holds announcements that no answer has proved or refuted, oldest first, and at
+	// most maxPending. They change nothing else.
+	pending []pendingAnnouncement
+	// refuted holds the senders of refuted announcements since the last call of TakeRefuted.
+	refuted []Worker
+	// doubted is set while the last poll leaves open whether the present worker is still at its
+	// address, pollsPending while the last poll names the sender of a pending announcement.
+	doubted      bool
+	pollsPending bool
 	// epochSince is when the worker's present epoch became known.
 	epochSince clock.Millis
 	// retiredEpochs are the last epochs that were replaced by another one.
@@ -207,9 +222,7 @@
 }
 
 // StopAccepting makes the supervisor refuse new runs and returns the queued ones to their
-// entries as not run; runs at the worker continue. The agent calls it when it drains and
-// when its worker deregisters, and clears StoppedAccepting when a new epoch of the worker
-// announces itself to an agent that is not draining.
+// entries as not run; runs at the worker continue. The agent calls it when it drains.
 func (s *Supervisor) StopAccepting(now clock.Millis) {
 	s.StoppedAccepting = true
 	s.NotifyNow = true
@@ -369,9 +382,9 @@
 
 // NeedsFrequentTicks reports whether Tick has to be called at short intervals: while runs are
 // queued, orphaned, of an earlier epoch or being stopped, an entry is disconnected, the claim
-// window is open, or the worker is unconfirmed.
+// window is open, the worker is unconfirmed, or an announcement is pending.
 func (s *Supervisor) NeedsFrequentTicks() bool {
-	if len(s.disconnected) > 0 || s.claimUntil > 0 || s.unconfirmed || s.HasRunningOrphans() {
+	if len(s.disconnected) > 0 || len(s.pending) > 0 || s.claimUntil > 0 || s.unconfirmed || s.HasRunningOrphans() {
 		return true
 	}
 	for _, run := range s.runs {
--- a/internal/runs/supervisor_test.go
+++ b/internal/runs/supervisor_test.go
@@ -38,7 +38,7 @@
 func newSupervisorOf(capacity jobs.Size) *Supervisor {
 	const start = -clock.Second
 	s := New(contactLeaseMS)
-	s.Announce(Worker{ID: "w", Epoch: 1, Fleet: "f", Capacity: capacity}, start)
+	s.Announce(Announcement{Worker: Worker{ID: "w", Epoch: 1, Fleet: "f", Capacity: capacity}}, start)
 	s.HandlePoll(PollResult{SentAt: start, SentEpoch: 1, Epoch: 1}, start)
 	s.Tick(start + claimWindowMS)
 	return s
@@ -231,7 +231,7 @@
 	s := newSupervisor()
 	s.Launch([]Run{newRun(entryA, "a", 0, 0), newRun(entryA, "a", 1, 0), newRun(entryA, "a", 2, 0)}, 0)
 	require.Len(t, takeStarts(s), 2)
-	s.Announce(Worker{ID: "w", Epoch: 1, Fleet: "f", Capacity: jobs.Size{MilliCPU: 4000, MemoryMB: 1000}, Draining: true}, 5)
+	s.Announce(Announcement{Worker: Worker{ID: "w", Epoch: 1, Fleet: "f", Capacity: jobs.Size{MilliCPU: 4000, MemoryMB: 1000}, Draining: true}, Sequence: 1}, 5)
 	require.Equal(t, []RunEnd{{Ref: ref("a", 2), Number: 1, Outcome: jobs.OutcomeNotRun}}, takeEnds(s))
 	s.Launch([]Run{newRun(entryA, "b", 0, 0)}, 6)
 	require.Equal(t, []RunEnd{{Ref: ref("b", 0), Number: 1, Outcome: jobs.OutcomeNotRun}}, takeEnds(s))
@@ -254,14 +254,17 @@
 // started anew under its id accepted starts before its new epoch was known, and these runs were
 // reported as lost.
 func TestRunsThatTheNewEpochAcceptedContinue(t *testing.T) {
-	firstSeen := map[string]func(s *Supervisor){
-		"poll": func(s *Supervisor) {
+	firstSeen := map[string]func(t *testing.T, s *Supervisor){
+		"poll": func(_ *testing.T, s *Supervisor) {
 			s.HandlePoll(PollResult{ClockMS: 5, SentAt: 100, SentEpoch: 1, Epoch: 2, Running: []RunID{{ref("accepted", 0), 1}}}, 105)
 		},
-		"announcement": func(s *Supervisor) {
+		"announcement": func(t *testing.T, s *Supervisor) {
 			w := *s.Worker
 			w.Epoch = 2
-			s.Announce(w, 105)
+			require.Equal(t, Pending, s.Announce(Announcement{Worker: w}, 100))
+			require.False(t, s.HasRunsOfEarlierEpoch(), "an announcement proves no epoch")
+			s.HandlePoll(PollResult{ClockMS: 5, SentAt: 101, SentEpoch: 1, Epoch: 2}, 105)
+			require.Equal(t, Ignored, s.Announce(Announcement{Worker: w}, 105), "it has been applied")
 		},
 	}
 	for name, see := range firstSeen {
@@ -274,7 +277,7 @@
 			answerStart(s, ref("crashed", 0), entryA, StartOK, 1)
 			answerStart(s, ref("accepted", 0), entryA, StartOK, 90)
 			s.TakeActions()
-			see(s)
+			see(t, s)
 			require.Empty(t, takeEnds(s), "each of the runs may be in the new epoch")
 			require.True(t, s.HasRunsOfEarlierEpoch())
 			answerStart(s, ref("late", 0), entryA, StartOK, 106)
@@ -324,14 +327,15 @@
 	old := *s.Worker
 	s.Worker.Epoch, old.Epoch = 50, 50
 	restarted := Worker{ID: "w", Epoch: 20, Fleet: "f", Capacity: old.Capacity}
-	require.False(t, s.AcceptAnnouncement(restarted, 0), "it may be a late announcement of an earlier epoch")
+	require.Equal(t, Pending, s.Announce(Announcement{Worker: restarted}, 99), "it may be a late announcement of an earlier epoch")
+	require.Equal(t, int64(50), s.Worker.Epoch)
 	s.HandlePoll(PollResult{ClockMS: 5, SentAt: 100, SentEpoch: 50, Epoch: 20}, 105)
+	require.Equal(t, Ignored, s.Announce(Announcement{Worker: restarted}, 105), "the poll has proved and applied it")
 	require.Empty(t, takeEnds(s), "the new epoch may still accept an earlier start")
 	s.HandlePoll(PollResult{ClockMS: 6, SentAt: 105, SentEpoch: 20, Epoch: 20}, 106)
 	require.Equal(t, []RunEnd{{Ref: ref("a", 0), Number: 1, Outcome: jobs.OutcomeLost}}, takeEnds(s))
-	require.True(t, s.AcceptAnnouncement(restarted, 0), "a poll has confirmed the epoch")
-	s.Announce(restarted, 110)
-	require.False(t, s.AcceptAnnouncement(old, 1000), "a late announcement of the epoch that ended")
+	require.Equal(t, Applied, s.Announce(Announcement{Worker: restarted, Sequence: 1}, 110), "a poll has confirmed the epoch")
+	require.Equal(t, Ignored, s.Announce(Announcement{Worker: old, Sequence: 1000}, 110), "a late announcement of the epoch that ended")
 	s.Launch([]Run{newRun(entryA, "b", 0, 0)}, 120)
 	require.Len(t, takeStarts(s), 1)
 }
@@ -343,13 +347,15 @@
 	s := newSupervisor()
 	w := *s.Worker
 	w.Epoch = 50
-	s.Announce(w, 100)
+	s.Announce(Announcement{Worker: w}, 100)
+	require.Equal(t, int64(1), s.Worker.Token, "an announcement alone raises no token")
+	s.HandlePoll(PollResult{ClockMS: 5, SentAt: 100, SentEpoch: 1, Epoch: 50}, 105)
 	require.Equal(t, int64(50), s.Worker.Token)
 	s.HandlePoll(PollResult{ClockMS: 5, SentAt: 200, SentEpoch: 50, Epoch: 20}, 205)
 	require.Equal(t, int64(20), s.Worker.Epoch)
 	require.Equal(t, int64(51), s.Worker.Token)
 	w.Epoch = 20
-	s.Announce(w, 210)
+	s.Announce(Announcement{Worker: w}, 210)
 	require.Equal(t, int64(51), s.Worker.Token, "the same epoch")
 }
 
@@ -360,7 +366,7 @@
 		now = 20_000 * day
 	)
 	s := New(contactLeaseMS)
-	s.Announce(Worker{ID: "w", Epoch: now}, 0)
+	s.Announce(Announcement{Worker: Worker{ID: "w", Epoch: now}}, 0)
 	polls := 0
 	for s.Worker.Token < now+day {
 		s.HandleFencedPoll(s.Worker.Token)
@@ -374,13 +380,20 @@
 func TestLateAnnouncementIsIgnored(t *testing.T) {
 	s := newSupervisor()
 	w := *s.Worker
-	require.True(t, s.AcceptAnnouncement(w, 5))
-	require.False(t, s.AcceptAnnouncement(w, 5))
-	require.False(t, s.AcceptAnnouncement(w, 4))
-	require.True(t, s.AcceptAnnouncement(w, 6))
+	for _, m := range []struct {
+		sequence int64
+		verdict  Verdict
+	}{{5, Applied}, {5, Ignored}, {4, Ignored}, {6, Applied}} {
+		require.Equal(t, m.verdict, s.Announce(Announcement{Worker: w, Sequence: m.sequence}, 10), m.sequence)
+	}
 	other := w
 	other.ID = "other"
-	require.True(t, s.AcceptAnnouncement(other, 0), "the sequence numbers of two workers can't be compared")
+	require.Equal(t, Pending, s.Announce(Announcement{Worker: other}, 10), "the sequence numbers of two workers can't be compared")
+	s.HandleMisdirected("w", 10, 11)
+	require.Equal(t, "other", s.NextPollTarget(11).ID)
+	s.HandlePoll(PollResult{ClockMS: 12, SentAt: 11, SentID: "other", SentEpoch: 1, Epoch: 1}, 12)
+	require.Equal(t, other.Identity(), s.Worker.Identity())
+	require.Equal(t, other.Capacity, s.Worker.Capacity)
 }
 
 func TestRunsOfUnreachableWorkerAreLostOnlyAfterLeaseExpiry(t *testing.T) {
