runs: A sequence number of another writer hides no announcement

Cause: an announcement is late if its sequence number is not above the last one. Another writer that used the worker's identity with a high number made the agent ignore all later announcements, so that a worker that drained was used until it left.

Change: an announcement is late only if its clock is not later either, which answers of the worker check. An applied announcement whose clock the worker's answers have not reached counts as none.

--- a/internal/runs/identity.go
+++ b/internal/runs/identity.go
@@ -79,7 +79,7 @@
 func (s *Supervisor) introduce(m Announcement, now clock.Millis) {
 	m.Worker.Token = s.nextToken(m.Worker.Epoch)
 	s.Worker = &m.Worker
-	s.announced = m.Sequence
+	s.announced, s.announcedClockMS = m.Sequence, m.ClockMS
 	s.unconfirmed = true
 	s.doubted, s.Departed = false, false
 	s.answeredClockMS = 0
@@ -94,14 +94,16 @@
 	return m.Worker.Identity() == s.Worker.Identity() && inTime
 }
 
-// update applies an announcement of the present worker, unless it is late.
+// update applies an announcement of the present worker, unless it is late. The sequence number and
+// the clock of a late one are both below those of another one before it. If only the number is,
+// another writer has sent the one before, and the clock, which answers check, decides.
 func (s *Supervisor) update(m Announcement, now clock.Millis) Verdict {
-	if m.Sequence <= s.announced {
+	if m.Sequence <= s.announced && m.ClockMS <= s.announcedClockMS {
 		return Ignored
 	}
 	old := s.Worker
 	isFirst := s.announced < 0
-	s.announced = m.Sequence
+	s.announced, s.announcedClockMS = m.Sequence, m.ClockMS
 	w := m.Worker
 	w.Token, w.AckedEnd = old.Token, old.AckedEnd
 	s.Worker = &w
@@ -118,6 +120,14 @@
 	return Applied
 }
 
+// checkAnnouncedClock forgets that an announcement was applied whose clock the worker's clock has
+// not reached: another writer sent it. The description stays until the worker's next announcement.
+func (s *Supervisor) checkAnnouncedClock(clockMS clock.Millis) {
+	if clockMS > 0 && s.announcedClockMS > clockMS+clockToleranceMS {
+		s.announced, s.announcedClockMS = -1, 0
+	}
+}
+
 // await keeps an announcement until an answer of the worker proves or refutes it. It replaces
 // those of the same identity that are older.
 func (s *Supervisor) await(m Announcement, now clock.Millis) {
@@ -207,7 +217,7 @@
 	next := s.pending[other]
 	s.pending = slices.Delete(s.pending, other, other+1)
 	if s.unconfirmed {
-		s.pending = append(s.pending, pendingAnnouncement{Announcement{Worker: *s.Worker, Sequence: s.announced}, now})
+		s.pending = append(s.pending, pendingAnnouncement{Announcement{*s.Worker, s.announced, s.announcedClockMS}, now})
 		s.introduce(next.Announcement, now)
 		return *s.Worker
 	}
--- a/internal/runs/identity_test.go
+++ b/internal/runs/identity_test.go
@@ -115,7 +115,7 @@
 				m.now += claimWindowMS
 				s.Tick(m.now)
 				require.Equal(t, testWorker.Identity(), s.Worker.Identity())
-				s.Announce(m.announcement(2000), m.now)
+				s.Announce(m.announcement(2), m.now)
 				require.Equal(t, testWorker.Capacity, s.Worker.Capacity)
 				require.False(t, s.RefusesRuns())
 			})
@@ -123,6 +123,24 @@
 	}
 }
 
+// Guards against a worker whose heartbeats are ignored: another writer used its identity, with a
+// sequence number that the worker does not reach. A late heartbeat stays ignored.
+func TestSequenceOfAnotherWriterHidesNoAnnouncement(t *testing.T) {
+	s := newSupervisor()
+	m := &addressModel{present: *s.Worker, startedAt: -clock.Second}
+	m.poll(s)
+	late := m.announcement(2)
+	m.now += clock.Second
+	foreign := m.announcement(1 << 50)
+	foreign.Worker.Fleet = "another"
+	require.Equal(t, Applied, s.Announce(foreign, m.now), "nothing tells it from the worker's own")
+	require.Equal(t, Ignored, s.Announce(late, m.now))
+	m.now += clock.Second
+	require.Equal(t, Applied, s.Announce(m.announcement(3), m.now))
+	require.Equal(t, "f", s.Worker.Fleet)
+	require.Equal(t, Ignored, s.Announce(late, m.now))
+}
+
 // A worker may be replaced by one with another id, which refuses the polls that name the earlier
 // one. The earlier one's announcement may arrive late.
 func TestWorkerIsReplacedByOneWithAnotherID(t *testing.T) {
--- a/internal/runs/supervisor.go
+++ b/internal/runs/supervisor.go
@@ -96,6 +96,8 @@
 	token int64
 	// announced is the sequence number of the last announcement of the present epoch, or -1.
 	announced int64
+	// announcedClockMS is the time on the worker's clock in that announcement.
+	announcedClockMS clock.Millis
 	// answeredClockMS is the time on the worker's clock in the last answered poll; zero if that
 	// is not known.
 	answeredClockMS clock.Millis
