runs, platform: A deregistration is ended by the worker's answers

Cause: a deregistration that names the worker's id was believed until the worker's next heartbeat, whoever sent it and whatever epoch it names, although the worker answered every poll meanwhile.

A worker that does not drain and answers a poll sent 300 ms after its deregistration or later has not left: it drains before it leaves. A worker that drains stays out of use, as before.

--- a/internal/runs/identity.go
+++ b/internal/runs/identity.go
@@ -174,18 +174,31 @@
 	}
 }
 
+// departureMS is how long a worker that has deregistered may take to end.
+const departureMS clock.Millis = 300
+
 // Deregister handles a deregistration. It reports whether that names the present worker, which
-// then accepts no more runs. An epoch of zero stands for any.
+// then accepts no more runs. An epoch of zero stands for any. A worker drains before it leaves:
+// checkDeparture ends the departure of one that does not and goes on answering.
 func (s *Supervisor) Deregister(leaving Identity, now clock.Millis) bool {
 	if s.Worker == nil || s.Worker.ID != leaving.ID || leaving.Epoch != 0 && leaving.Epoch != s.Worker.Epoch {
 		return false
 	}
-	s.Departed = true
+	s.Departed, s.departedAt = true, now
 	s.NotifyNow = true
 	s.returnQueued(now)
 	return true
 }
 
+// checkDeparture ends the departure of a worker that is not draining and still answers: another
+// writer has deregistered it, or an earlier life of it did so late.
+func (s *Supervisor) checkDeparture(p PollResult) {
+	if s.Departed && !s.Worker.Draining && p.SentAt-s.departedAt >= departureMS {
+		s.Departed = false
+		s.NotifyNow = true
+	}
+}
+
 // HasPendingAnnouncements reports whether an announcement waits for an answer of the worker.
 func (s *Supervisor) HasPendingAnnouncements() bool {
 	return len(s.pending) > 0
--- a/internal/runs/identity_test.go
+++ b/internal/runs/identity_test.go
@@ -141,6 +141,30 @@
 	require.Equal(t, Ignored, s.Announce(late, m.now))
 }
 
+// A worker that deregisters accepts no runs. If it did not drain and still answers after
+// departureMS, another writer has deregistered it.
+func TestDepartureIsEndedByAnswersUnlessTheWorkerDrains(t *testing.T) {
+	for _, draining := range []bool{false, true} {
+		s := newSupervisor()
+		m := &addressModel{present: *s.Worker, startedAt: -clock.Second}
+		m.poll(s)
+		leaving := m.announcement(1)
+		leaving.Worker.Draining = draining
+		s.Announce(leaving, m.now)
+		require.False(t, s.Deregister(Identity{ID: "other"}, m.now))
+		require.False(t, s.Deregister(Identity{ID: "w", Epoch: 9}, m.now))
+		require.False(t, s.Departed)
+		require.True(t, s.Deregister(Identity{ID: "w"}, m.now))
+		m.poll(s)
+		require.True(t, s.Departed)
+		require.True(t, s.RefusesRuns())
+		m.now += departureMS
+		m.poll(s)
+		require.Equal(t, draining, s.Departed)
+		require.Equal(t, draining, s.RefusesRuns())
+	}
+}
+
 // A worker may be replaced by one with another id, which refuses the polls that name the earlier
 // one. The earlier one's announcement may arrive late.
 func TestWorkerIsReplacedByOneWithAnotherID(t *testing.T) {
--- a/internal/runs/polls.go
+++ b/internal/runs/polls.go
@@ -58,6 +58,7 @@
 	s.failedPolls, s.doubted = 0, false
 	s.lastPollAt, s.answeredClockMS = now, p.ClockMS
 	s.checkAnnouncedClock(p.ClockMS)
+	s.checkDeparture(p)
 	s.Worker.AckedEnd = max(s.Worker.AckedEnd, p.LastEnd)
 	if s.Unreachable {
 		s.Unreachable = false
--- a/internal/runs/supervisor.go
+++ b/internal/runs/supervisor.go
@@ -21,8 +21,8 @@
 	Speed float64
 	// StoppedAccepting is set while the agent drains.
 	StoppedAccepting bool
-	// Departed is set after the worker has deregistered, until an announcement shows that it
-	// is there.
+	// Departed is set after the worker has deregistered, until an announcement or its answers
+	// show that it is there.
 	Departed bool
 	// ZoneDrained is set while the zone of the worker is drained. SetZoneDrained sets it.
 	ZoneDrained bool
@@ -101,6 +101,8 @@
 	// answeredClockMS is the time on the worker's clock in the last answered poll; zero if that
 	// is not known.
 	answeredClockMS clock.Millis
+	// departedAt is when the worker last deregistered.
+	departedAt clock.Millis
 	// pending holds announcements that no answer has proved or refuted, oldest first, and at
 	// most maxPending. They change nothing else.
 	pending []pendingAnnouncement
