runs: An epoch that no answer has proved keeps the token within reach

Cause: the first announcement that an agent receives makes its sender the unconfirmed worker, and the token of the first poll is its epoch. Another writer that named the worker's id and an epoch of 2^53 made the worker refuse every call of a later process of the agent, whose token rises to 2^52 at most.

Change: a token starts from an epoch up to 2^42 ms, which is in 2109.

--- a/internal/runs/epochs.go
+++ b/internal/runs/epochs.go
@@ -113,12 +113,16 @@
 	}
 }
 
-// nextToken returns the fencing token of a new epoch.
+// nextToken returns the fencing token of a new epoch. An epoch that no answer has proved may be any
+// number; the tokens stay so far below maxToken that a later process of the agent can reach them.
 func (s *Supervisor) nextToken(epoch int64) int64 {
-	s.token = max(epoch, s.token+1)
+	s.token = max(min(epoch, maxEpochToken), s.token+1)
 	return s.token
 }
 
+// maxEpochToken is above the epoch of every worker that starts before the year 2109.
+const maxEpochToken = 1 << 42
+
 // HandleFencedPoll raises the token by minTokenStep or more, up to maxToken, below which every
 // integer has an exact floating-point number.
 const (
--- a/internal/runs/identity_test.go
+++ b/internal/runs/identity_test.go
@@ -165,6 +165,24 @@
 	}
 }
 
+// Guards against a worker that refuses all calls until it starts anew: the first heartbeat that an
+// agent received named the worker's id and a far later epoch, which became the fencing token of a
+// poll. A later process of the agent could not reach it.
+func TestEpochOfAnotherWriterRaisesTheTokenWithinReach(t *testing.T) {
+	s := New(contactLeaseMS)
+	foreign := testWorker
+	foreign.Epoch = 1<<53 - 1
+	s.Announce(Announcement{Worker: foreign}, 0)
+	fence := s.Worker.Token
+	next := New(contactLeaseMS)
+	next.Restore(testWorker)
+	polls := 0
+	for ; next.Worker.Token < fence && polls < 100; polls++ {
+		next.HandleFencedPoll(next.Worker.Token)
+	}
+	require.Less(t, polls, 40)
+}
+
 // A worker may be replaced by one with another id, which refuses the polls that name the earlier
 // one. The earlier one's announcement may arrive late.
 func TestWorkerIsReplacedByOneWithAnotherID(t *testing.T) {
