--- /dev/null
+++ b/internal/runs/announcements.go
@@ -0,0 +1,182 @@
+package runs
+
+import (
+	"slices"
+
+	"github.com/turmericbarrow/turmericbarrow/internal/clock"
+)
+
+// Announcement is a worker's description of itself. Anybody may have sent it: it takes effect
+// once an answer of the worker proves the identity that it names.
+type Announcement struct {
+	Worker Worker
+	// Sequence increases with each announcement of a worker in one epoch. An announcement
+	// that arrives late has a lower number than one before it.
+	Sequence int64
+	// ClockMS is the time on the worker's clock when it sent the announcement.
+	ClockMS clock.Millis
+}
+
+// Verdict is what became of an announcement.
+type Verdict int
+
+// The verdicts on an announcement.
+const (
+	// Ignored: the announcement is late or repeated, and changes nothing.
+	Ignored Verdict = iota
+	// Pending: the announcement changes nothing until an answer of the worker proves it.
+	Pending
+	// Applied: the announcement describes the present worker.
+	Applied
+)
+
+// pendingAnnouncement is an announcement that no answer of the worker has proved or refuted.
+type pendingAnnouncement struct {
+	Announcement
+	// ReceivedAt is when it arrived. An answer to a poll that was sent before proves nothing
+	// against it.
+	ReceivedAt clock.Millis
+}
+
+const (
+	// maxPending is the number of announcements that wait for an answer of the worker.
+	maxPending = 8
+	// clockToleranceMS is how far the clock of an announcement may seem ahead of the worker's
+	// clock, which runs on between two answers.
+	clockToleranceMS clock.Millis = 100
+)
+
+// Announce handles an announcement. Without a worker its sender becomes the worker, unconfirmed,
+// and with one the announcement is applied if it is the worker's own. The other ones wait for the
+// worker's next answer, except those of an earlier epoch, which arrive late.
+func (s *Supervisor) Announce(m Announcement, now clock.Millis) Verdict {
+	switch {
+	case s.Worker == nil:
+		s.introduce(m, now)
+		return Applied
+	case s.isOwn(m, now):
+		return s.update(m, now)
+	case slices.Contains(s.retiredEpochs, m.Worker.Epoch):
+		return Ignored
+	}
+	s.await(m, now)
+	return Pending
+}
+
+// isOwn reports whether an announcement names the present worker and a time that its clock can
+// show by its last answer.
+func (s *Supervisor) isOwn(m Announcement, now clock.Millis) bool {
+	inTime := s.answeredClockMS == 0 || m.ClockMS <= s.answeredClockMS+(now-s.lastPollAt)+clockToleranceMS
+	return m.Worker.Identity() == s.Worker.Identity() && inTime
+}
+
+// update applies an announcement of the present worker, unless it is late. The sequence number and
+// the clock of a late one are both below those of another one before it. If only the number is,
+// another writer has sent the one before, and the clock, which answers check, decides.
+func (s *Supervisor) update(m Announcement, now clock.Millis) Verdict {
+	if m.Sequence <= s.announced && m.ClockMS <= s.announcedClockMS {
+		return Ignored
+	}
+	old := s.Worker
+	isFirst := s.announced < 0
+	s.announced, s.announcedClockMS = m.Sequence, m.ClockMS
+	w := m.Worker
+	w.Token, w.AckedEnd = old.Token, old.AckedEnd
+	s.Worker = &w
+	s.NotifyNow = s.NotifyNow || old.Draining != w.Draining || old.Capacity != w.Capacity || old.Fleet != w.Fleet
+	if isFirst || !w.Draining {
+		// A worker announces that it drains before it leaves, so this one has not left.
+		s.NotifyNow = s.NotifyNow || s.Departed
+		s.Departed = false
+	}
+	if w.Draining {
+		s.returnQueued(now)
+	}
+	s.startQueued(now)
+	return Applied
+}
+
+// checkAnnouncedClock forgets that an announcement was applied whose clock the worker's clock has
+// not reached: another writer sent it. The description stays until the worker's next announcement.
+func (s *Supervisor) checkAnnouncedClock(clockMS clock.Millis) {
+	if clockMS > 0 && s.announcedClockMS > clockMS+clockToleranceMS {
+		s.announced, s.announcedClockMS = -1, 0
+	}
+}
+
+// await keeps an announcement until an answer of the worker proves or refutes it. It replaces
+// those of the same identity that are older.
+func (s *Supervisor) await(m Announcement, now clock.Millis) {
+	s.pending = slices.DeleteFunc(s.pending, func(o pendingAnnouncement) bool {
+		return o.Worker.Identity() == m.Worker.Identity() && o.Sequence <= m.Sequence
+	})
+	s.pending = append(s.pending, pendingAnnouncement{Announcement: m, ReceivedAt: now})
+	if len(s.pending) > maxPending {
+		s.pending = s.pending[1:]
+	}
+}
+
+// departureMS is how long a worker that has deregistered may take to end.
+const departureMS clock.Millis = 300
+
+// Deregister handles a deregistration. It reports whether that names the present worker, which
+// then accepts no more runs. An epoch of zero stands for any. A worker drains before it leaves:
+// checkDeparture ends the departure of one that does not and goes on answering.
+func (s *Supervisor) Deregister(leaving Identity, now clock.Millis) bool {
+	if s.Worker == nil || s.Worker.ID != leaving.ID || leaving.Epoch != 0 && leaving.Epoch != s.Worker.Epoch {
+		return false
+	}
+	s.Departed, s.departedAt = true, now
+	s.NotifyNow = true
+	s.returnQueued(now)
+	return true
+}
+
+// checkDeparture ends the departure of a worker that is not draining and still answers: another
+// writer has deregistered it, or an earlier life of it did so late.
+func (s *Supervisor) checkDeparture(p PollResult) {
+	if s.Departed && !s.Worker.Draining && p.SentAt-s.departedAt >= departureMS {
+		s.Departed = false
+		s.NotifyNow = true
+	}
+}
+
+// HasPendingAnnouncements reports whether an announcement waits for an answer of the worker.
+func (s *Supervisor) HasPendingAnnouncements() bool {
+	return len(s.pending) > 0
+}
+
+// IsAnnounced reports whether an announcement of the present worker has been applied.
+func (s *Supervisor) IsAnnounced() bool {
+	return s.Worker != nil && s.announced >= 0
+}
+
+// TakeRefuted returns the senders of the announcements that the worker's answers have refuted
+// since the last call, for the log.
+func (s *Supervisor) TakeRefuted() []Worker {
+	refuted := s.refuted
+	s.refuted = nil
+	return refuted
+}
+
+// settlePending applies the pending announcements that an answer proves to be of the present
+// worker, and drops those that it refutes: there is one worker at the address.
+func (s *Supervisor) settlePending(p PollResult, now clock.Millis) {
+	pending := s.pending
+	s.pending = nil
+	for _, m := range pending {
+		isOfWorker := m.Worker.Identity() == s.Worker.Identity()
+		switch {
+		case isOfWorker && (p.ClockMS == 0 || m.ClockMS <= p.ClockMS+clockToleranceMS):
+			s.update(m.Announcement, now)
+		case m.ReceivedAt > p.SentAt:
+			s.pending = append(s.pending, m)
+		case !isOfWorker && m.Worker.Epoch == s.Worker.Epoch:
+			// A poll that names the sender tells which of the two is at the address.
+			s.pending = append(s.pending, m)
+			s.doubted = true
+		default:
+			s.refuted = append(s.refuted, m.Worker)
+		}
+	}
+}
--- a/internal/runs/epochs.go
+++ b/internal/runs/epochs.go
@@ -1,10 +1,6 @@
 package runs
 
-import (
-	"slices"
-
-	"github.com/turmericbarrow/turmericbarrow/internal/clock"
-)
+import "github.com/turmericbarrow/turmericbarrow/internal/clock"
 
 // Epoch returns the worker's present epoch, or zero without a worker.
 func (s *Supervisor) Epoch() int64 {
@@ -14,42 +10,6 @@
 	return s.Worker.Epoch
 }
 
-// acceptIdentity reports whether the answer to a poll is of the worker's present life or of
-// another one that has replaced it. The answer shows which epoch is at the worker's address, even
-// if its number is lower: epochs are times of day, and the clock of a host may step back between
-// two starts of its worker. An answer to a poll that was sent before the present epoch was known
-// may be out of date, and an epoch that was replaced once does not return.
-func (s *Supervisor) acceptIdentity(p PollResult, now clock.Millis) bool {
-	if p.SentID != "" && p.SentID != s.Worker.ID {
-		s.replaceWorker(p, now)
-		return true
-	}
-	if p.Epoch == 0 || p.Epoch == s.Worker.Epoch {
-		return true
-	}
-	if p.Epoch < s.Worker.Epoch && p.SentAt <= s.epochSince || slices.Contains(s.retiredEpochs, p.Epoch) {
-		return false
-	}
-	earlier := s.Worker.Epoch
-	s.Worker.Epoch = p.Epoch
-	s.startNewEpoch(earlier, now)
-	return true
-}
-
-// replaceWorker makes the worker that has answered a poll under another id the present one. It
-// has no capacity until an announcement of it is applied.
-func (s *Supervisor) replaceWorker(p PollResult, now clock.Millis) {
-	w := Worker{ID: p.SentID, Epoch: p.Epoch}
-	for _, m := range s.pending {
-		if m.Worker.ID == w.ID && w.Epoch == 0 {
-			w.Epoch = m.Worker.Epoch // the answer names no epoch
-		}
-	}
-	earlier := s.Worker.Epoch
-	s.Worker = &w
-	s.startNewEpoch(earlier, now)
-}
-
 // maxRetiredEpochs is the number of past epochs whose late announcements are recognized.
 const maxRetiredEpochs = 16
 
