runner: A worker with another id is polled at once after a refused poll

Cause: the refusal with 421 counts as a failed poll, whose repetition waits 20 ms and more, although the worker that replaced the present one had announced itself.

Change: such a poll is repeated at once, and an announcement that arrives after it starts one at once. Other pending announcements wait for 20 ms since the last poll, not since their arrival.

--- a/internal/runner/calls.go
+++ b/internal/runner/calls.go
@@ -178,7 +178,7 @@
 		a.renewedUntil = a.supervisor.GrantLease(now, a.settings.LeaseMS)
 		until = a.renewedUntil + a.clockOffset
 	}
-	a.polling = true
+	a.polling, a.polledAt = true, now
 	a.activeCalls++
 	go func() {
 		ctx, stop := context.WithTimeout(ctx, (wait + timeout).Duration())
@@ -214,16 +214,22 @@
 
 // onPollFailure handles a poll that was not answered or was refused.
 func (a *Agent) onPollFailure(r pollResult, now clock.Millis) {
-	if errors.Is(r.err, ErrMisdirected) {
+	isMisdirected := errors.Is(r.err, ErrMisdirected)
+	if isMisdirected {
 		wasConfirmed := a.supervisor.Confirmed()
 		a.supervisor.HandleMisdirected(r.result.SentID, r.result.SentAt, now)
 		if !wasConfirmed || r.result.SentID != a.supervisor.Worker.ID {
 			return // that poll was no call of the present worker
 		}
 	}
+	a.misdirected = isMisdirected
 	wasUnreachable := a.supervisor.Unreachable
-	// The first failed poll is repeated at once, later ones after a growing delay.
+	// The first failed poll is repeated at once, later ones after a growing delay, unless the worker
+	// that has replaced the present one has announced itself.
 	a.nextPollAt = now + callTimeout(a.supervisor.FailedPolls()) - minCallTimeoutMS
+	if isMisdirected && a.supervisor.HasPendingAnnouncements() {
+		a.nextPollAt = now
+	}
 	a.supervisor.HandlePollFailure(a.settings.LeaseMS, now)
 	if errors.Is(r.err, ErrFenced) {
 		a.supervisor.HandleFencedPoll(r.token)
@@ -242,6 +248,7 @@
 	if p.MalformedRows > 0 {
 		a.log.Warn("the worker listed runs that are not understood; ignored", "worker", a.supervisor.Worker.ID, "rows", p.MalformedRows)
 	}
+	a.misdirected = false
 	confirmed, before := a.supervisor.Confirmed(), a.presentWorker()
 	a.supervisor.HandlePoll(p, now)
 	if a.presentWorker().Identity() != before.Identity() {
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -166,8 +166,12 @@
 	activeCalls int
 	// polling is set while a poll is in flight.
 	polling bool
-	// nextPollAt is the earliest time of the next poll.
+	// nextPollAt is the earliest time of the next poll, polledAt when the last one was sent.
 	nextPollAt clock.Millis
+	polledAt   clock.Millis
+	// misdirected is set while the last poll that named the present worker was refused because
+	// another one is at the address.
+	misdirected bool
 	// clockOffset is the worker's clock minus the agent's.
 	clockOffset      clock.Millis
 	clockOffsetKnown bool
@@ -512,7 +516,10 @@
 	case runs.Ignored:
 		return false
 	case runs.Pending:
-		a.nextPollAt = min(a.nextPollAt, now+cautiousPollWaitMS)
+		a.nextPollAt = min(a.nextPollAt, max(now, a.polledAt+cautiousPollWaitMS))
+		if a.misdirected {
+			a.nextPollAt = now
+		}
 	case runs.Applied:
 		if !wasKnown {
 			a.clockOffsetKnown = false
