runs: A worker keeps its description for its life

Cause: a heartbeat with the worker's own id and epoch was applied whatever it says, if its sequence number or its clock was above the last one's. Another writer that copied the worker's heartbeats with another service, again and again, kept the worker out of use.

Change: the worker's clock orders announcements, and sequence numbers those of one time. An announcement that changes the fleet, labels or capacity of a life is refused; of two such descriptions the one whose clock fits the worker's holds, and otherwise the earlier one until it has not been announced for 4 s. The description of a record counts as the earlier one.

--- a/internal/runs/announcements.go
+++ b/internal/runs/announcements.go
@@ -64,22 +64,31 @@
 }
 
 // isOwn reports whether an announcement names the present worker and a time that its clock can
-// show by its last answer.
+// show by its last answer. Without an answer that holds while it contradicts no other one.
 func (s *Supervisor) isOwn(m Announcement, now clock.Millis) bool {
-	inTime := s.answeredClockMS == 0 || m.ClockMS <= s.answeredClockMS+(now-s.lastPollAt)+clockToleranceMS
-	return m.Worker.Identity() == s.Worker.Identity() && inTime
+	if m.Worker.Identity() != s.Worker.Identity() {
+		return false
+	}
+	if s.answeredClockMS == 0 {
+		return !s.contradicts(m, now)
+	}
+	return m.ClockMS <= s.answeredClockMS+(now-s.lastPollAt)+clockToleranceMS
 }
 
-// update applies an announcement of the present worker, unless it is late. The sequence number and
-// the clock of a late one are both below those of another one before it. If only the number is,
-// another writer has sent the one before, and the clock, which answers check, decides.
+// update applies an announcement of the present worker, unless it is late or contradicts those
+// before it.
 func (s *Supervisor) update(m Announcement, now clock.Millis) Verdict {
-	if m.Sequence <= s.announced && m.ClockMS <= s.announcedClockMS {
+	if !s.isNewer(m) {
+		return Ignored
+	}
+	if s.contradicts(m, now) {
+		s.refuted = append(s.refuted, m.Worker)
 		return Ignored
 	}
 	old := s.Worker
 	isFirst := s.announced < 0
-	s.announced, s.announcedClockMS = m.Sequence, m.ClockMS
+	s.announced, s.announcedClockMS, s.announcedAt = m.Sequence, m.ClockMS, now
+	s.isDescribed = true
 	w := m.Worker
 	w.Token, w.AckedEnd = old.Token, old.AckedEnd
 	s.Worker = &w
@@ -96,11 +105,45 @@
 	return Applied
 }
 
+// isNewer reports whether an announcement is newer than the last one. The worker's clock decides,
+// which answers check; another writer may use any sequence number.
+func (s *Supervisor) isNewer(m Announcement) bool {
+	if m.ClockMS == s.announcedClockMS {
+		return m.Sequence > s.announced
+	}
+	return m.ClockMS > s.announcedClockMS
+}
+
+// contradictionMS is how long a description holds against another one of the same life. It is more
+// than two intervals of a worker's announcements.
+const contradictionMS clock.Millis = 4000
+
+// contradicts reports whether an announcement of the present life is another writer's: a worker
+// keeps its fleet, labels and capacity for its life. Of two descriptions the one whose clock fits the
+// worker's better holds, and otherwise the earlier one until it has not been announced for
+// contradictionMS.
+func (s *Supervisor) contradicts(m Announcement, now clock.Millis) bool {
+	if !s.isDescribed || m.Worker.SameExceptDraining(*s.Worker) || now-s.announcedAt >= contradictionMS {
+		return false
+	}
+	if s.announced < 0 || s.answeredClockMS == 0 {
+		return true // the description is that of the record, or the worker's clock is not known
+	}
+	return s.clockError(m.ClockMS, now)+clockToleranceMS >= s.clockError(s.announcedClockMS, s.announcedAt)
+}
+
+// clockError returns the difference between the time that an announcement showed when it arrived and
+// the worker's clock, by its last answer.
+func (s *Supervisor) clockError(clockMS, receivedAt clock.Millis) clock.Millis {
+	difference := clockMS - receivedAt - (s.answeredClockMS - s.lastPollAt)
+	return max(difference, -difference)
+}
+
 // checkAnnouncedClock forgets that an announcement was applied whose clock the worker's clock has
 // not reached: another writer sent it. The description stays until the worker's next announcement.
 func (s *Supervisor) checkAnnouncedClock(clockMS clock.Millis) {
 	if clockMS > 0 && s.announcedClockMS > clockMS+clockToleranceMS {
-		s.announced, s.announcedClockMS = -1, 0
+		s.announced, s.announcedClockMS, s.isDescribed = -1, 0, false
 	}
 }
 
--- a/internal/runs/identity.go
+++ b/internal/runs/identity.go
@@ -24,8 +24,8 @@
 func (s *Supervisor) introduce(m Announcement, now clock.Millis) {
 	m.Worker.Token = s.nextToken(m.Worker.Epoch)
 	s.Worker = &m.Worker
-	s.announced, s.announcedClockMS = m.Sequence, m.ClockMS
-	s.unconfirmed = true
+	s.announced, s.announcedClockMS, s.announcedAt = m.Sequence, m.ClockMS, now
+	s.unconfirmed, s.isDescribed = true, true
 	s.doubted, s.Departed = false, false
 	s.answeredClockMS = 0
 	s.epochSince = now
--- a/internal/runs/orphans.go
+++ b/internal/runs/orphans.go
@@ -68,6 +68,9 @@
 	s.unconfirmed = false
 	s.NotifyNow = true
 	s.claimUntil = now + claimWindowMS
+	if s.announced < 0 {
+		s.announcedAt = now
+	}
 	return true
 }
 
--- a/internal/runs/supervisor.go
+++ b/internal/runs/supervisor.go
@@ -96,8 +96,12 @@
 	token int64
 	// announced is the sequence number of the last announcement of the present epoch, or -1.
 	announced int64
-	// announcedClockMS is the time on the worker's clock in that announcement.
+	// announcedClockMS is the time on the worker's clock in that announcement, announcedAt when
+	// it arrived, or when the worker of a record was confirmed.
 	announcedClockMS clock.Millis
+	announcedAt      clock.Millis
+	// isDescribed is set while the description of the worker is one of its present life.
+	isDescribed bool
 	// answeredClockMS is the time on the worker's clock in the last answered poll; zero if that
 	// is not known.
 	answeredClockMS clock.Millis
