runs: A repeated deregistration stops no worker that answers

Cause: each deregistration began the 300 ms anew after which the worker's answers end a departure, so that another writer that repeated it kept the worker out of use.

Change: the first one counts. Once answers or a heartbeat have ended a departure, deregistrations of that life are ignored while the worker does not drain.

The last line of TestDepartureIsEndedByAnswersUnlessTheWorkerDrains fails without it.

--- a/internal/runs/announcements.go
+++ b/internal/runs/announcements.go
@@ -95,8 +95,7 @@
 	s.NotifyNow = s.NotifyNow || old.Draining != w.Draining || old.Capacity != w.Capacity || old.Fleet != w.Fleet
 	if isFirst || !w.Draining {
 		// A worker announces that it drains before it leaves, so this one has not left.
-		s.NotifyNow = s.NotifyNow || s.Departed
-		s.Departed = false
+		s.endDeparture()
 	}
 	if w.Draining {
 		s.returnQueued(now)
@@ -164,12 +163,18 @@
 
 // Deregister handles a deregistration. It reports whether that names the present worker, which
 // then accepts no more runs. An epoch of zero stands for any. A worker drains before it leaves:
-// checkDeparture ends the departure of one that does not and goes on answering.
+// checkDeparture ends the departure of one that does not and goes on answering, and from then on
+// deregistrations of its life are ignored while it does not drain.
 func (s *Supervisor) Deregister(leaving Identity, now clock.Millis) bool {
 	if s.Worker == nil || s.Worker.ID != leaving.ID || leaving.Epoch != 0 && leaving.Epoch != s.Worker.Epoch {
 		return false
 	}
-	s.Departed, s.departedAt = true, now
+	if s.departureRefuted && !s.Worker.Draining {
+		return false
+	}
+	if !s.Departed {
+		s.Departed, s.departedAt = true, now
+	}
 	s.NotifyNow = true
 	s.returnQueued(now)
 	return true
@@ -179,7 +184,14 @@
 // writer has deregistered it, or an earlier life of it did so late.
 func (s *Supervisor) checkDeparture(p PollResult) {
 	if s.Departed && !s.Worker.Draining && p.SentAt-s.departedAt >= departureMS {
-		s.Departed = false
+		s.endDeparture()
+	}
+}
+
+// endDeparture makes a worker that has deregistered usable again, if it has.
+func (s *Supervisor) endDeparture() {
+	if s.Departed {
+		s.Departed, s.departureRefuted = false, true
 		s.NotifyNow = true
 	}
 }
--- a/internal/runs/epochs.go
+++ b/internal/runs/epochs.go
@@ -30,7 +30,7 @@
 	s.retireEpoch(earlier, now)
 	s.Worker.Token, s.Worker.AckedEnd = s.nextToken(s.Worker.Epoch), 0
 	s.announced, s.announcedClockMS = -1, 0
-	s.isDescribed = false
+	s.departureRefuted, s.isDescribed = false, false
 	for _, run := range s.runs {
 		run.StopAckedAt = 0
 		run.MissingSince = 0
--- a/internal/runs/identity.go
+++ b/internal/runs/identity.go
@@ -26,7 +26,7 @@
 	s.Worker = &m.Worker
 	s.announced, s.announcedClockMS, s.announcedAt = m.Sequence, m.ClockMS, now
 	s.unconfirmed, s.isDescribed = true, true
-	s.doubted, s.Departed = false, false
+	s.doubted, s.Departed, s.departureRefuted = false, false, false
 	s.answeredClockMS = 0
 	s.epochSince = now
 	s.NotifyNow = true
--- a/internal/runs/identity_test.go
+++ b/internal/runs/identity_test.go
@@ -194,6 +194,7 @@
 		m.poll(s)
 		require.Equal(t, draining, s.Departed)
 		require.Equal(t, draining, s.RefusesRuns())
+		require.Equal(t, draining, s.Deregister(Identity{ID: "w"}, m.now), "a repeated one is ignored unless the worker drains")
 	}
 }
 
--- a/internal/runs/supervisor.go
+++ b/internal/runs/supervisor.go
@@ -107,6 +107,9 @@
 	answeredClockMS clock.Millis
 	// departedAt is when the worker last deregistered.
 	departedAt clock.Millis
+	// departureRefuted is set once answers or an announcement have ended a departure of the
+	// present life.
+	departureRefuted bool
 	// pending holds announcements that no answer has proved or refuted, oldest first, and at
 	// most maxPending. They change nothing else.
 	pending []pendingAnnouncement
