--- a/review/_standin3/half.go
+++ b/review/_standin3/half.go
@@ -11,8 +11,11 @@
 	"time"
 )
 
-// halfClosed submits a job to each entry. The clients leave: they close the sending side of their
-// connections before the job has ended, and still read what comes.
+// clientsPerEntry is the number of clients of an entry, one of which leaves early.
+const clientsPerEntry = 3
+
+// halfClosed submits jobs to each entry. One client in clientsPerEntry leaves: it closes the sending
+// side of its connection before the job has ended, and still reads what comes.
 func halfClosed(ctx context.Context, rec *record, trouble bool) error {
 	d, err := newDeployment(ctx, rec, 3, workers(8), true)
 	if err != nil {
@@ -22,21 +25,31 @@
 	if err := d.awaitReady(); err != nil {
 		return err
 	}
-	var result error
+	results := make(chan error)
 	for i := range d.entries {
-		j := &job{ID: newJobID(), Spec: "half closed", Steps: []step{{Count: 2, CPU: 1600, MemMB: 64, EstimatedMS: 900}}}
-		a, err := d.submitAndLeave(i, j, trouble)
-		if err != nil {
-			return err
+		for n := range clientsPerEntry {
+			go func() { results <- d.submitAndCheck(i, trouble && n == 0) }()
 		}
-		time.Sleep(1500 * time.Millisecond)
-		if err := d.checkState(j, a); err != nil {
+	}
+	var result error
+	for range len(d.entries) * clientsPerEntry {
+		if err := <-results; err != nil {
 			result = err
 		}
 	}
 	return result
 }
 
+func (d *deployment) submitAndCheck(entry int, leaves bool) error {
+	j := &job{ID: newJobID(), Spec: "half closed", Steps: []step{{Count: 2, CPU: 1600, MemMB: 64, EstimatedMS: 900}}}
+	a, err := d.submitAndLeave(entry, j, leaves)
+	if err != nil {
+		return err
+	}
+	time.Sleep(1500 * time.Millisecond)
+	return d.checkState(j, a)
+}
+
 // submitAndLeave submits a job and, if leaves is set, closes the sending side of the connection while
 // the job runs. It returns the response, with status 0 if there is none.
 func (d *deployment) submitAndLeave(entry int, j *job, leaves bool) (answer, error) {
@@ -53,21 +66,21 @@
 		queuePrefix, j.ID, queueHost, deadline.Milliseconds(), len(body), body)
 	if leaves {
 		time.Sleep(stay)
-		d.record.log("client: closes the sending side")
+		d.record.log("client of %s: closes the sending side", j.ID)
 		conn.(*net.TCPConn).CloseWrite()
 	}
 	conn.SetReadDeadline(time.Now().Add(deadline))
 	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	if err != nil {
-		d.record.log("client: no response")
+		d.record.log("client of %s: no response", j.ID)
 		return answer{}, nil
 	}
 	text, err := io.ReadAll(resp.Body)
 	if err != nil {
-		d.record.log("client: no whole response")
+		d.record.log("client of %s: no whole response", j.ID)
 		return answer{}, nil
 	}
-	d.record.log("client: response %d %q", resp.StatusCode, text)
+	d.record.log("client of %s: response %d %q", j.ID, resp.StatusCode, text)
 	return answer{status: resp.StatusCode, body: string(text), at: time.Now()}, nil
 }
 
