Review: drop two cases that earlier ones show, and add case 11

Case 11: clients that have sent a second request on their connection leave, and the entry goes on with their jobs.

--- a/review/_standin3/main.go
+++ b/review/_standin3/main.go
@@ -23,12 +23,11 @@
 func broken(format string, args ...any) error { return errBroken{fmt.Sprintf(format, args...)} }
 
 var cases = map[string]func(ctx context.Context, rec *record, trouble bool) error{
-	"cancel-frozen":    cancelFrozen,
-	"cancel-restarted": cancelRestarted,
-	"kind-changed":     kindChanged,
-	"dependencies":     manyDependencies,
-	"half-closed":      halfClosed,
-	"soak":             soak,
+	"cancel-frozen": cancelFrozen,
+	"kind-changed":  kindChanged,
+	"half-closed":   halfClosed,
+	"pipelined":     pipelined,
+	"soak":          soak,
 }
 
 func main() {
