runs, runner, place: A worker's description belongs to one life

Cause: fleet, labels and capacity had no owner and named no life. A new epoch was written into the worker in place, so that the agent went on by the description of the earlier life, saved it under the new epoch, and told entries that it was unchanged. Ruled out: refusing runs until the first heartbeat alone. A launch that was placed by the old description arrives after the new one is in force, and unanswered starts were repeated to the new life. A life that an answer shows has none until its own heartbeat or record, gets no runs and is not recorded. Each description has a revision, which reports carry and launches name; queued runs and launches of another one are returned as not run. A claim starts nothing.

--- a/internal/place/launch.go
+++ b/internal/place/launch.go
@@ -52,6 +52,7 @@
 		Size:        j.Spec.Steps[k.step].Size,
 		ExpectedMS:  j.PredictedWorkMS,
 		LatestStart: int64(j.LatestStart),
+		Revision:    w.Revision,
 	}
 }
 
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -182,6 +182,8 @@
 	Tasks       []LaunchTask
 	// Claim is set if the launch takes over a run that an earlier agent process started.
 	Claim bool
+	// Revision is that of the worker's description by which the tasks were placed.
+	Revision uint64
 	// HoldMS is how long the agent is to hold the tasks until the worker has capacity; zero unless
 	// the capacity is reserved for them.
 	HoldMS clock.Millis
--- a/internal/place/worker.go
+++ b/internal/place/worker.go
@@ -14,11 +14,15 @@
 	Agent string
 	Host  string
 	// Zone is the availability zone of the worker.
-	Zone     string
-	ID       string
+	Zone string
+	ID   string
+	// Fleet, Labels and Capacity describe the worker's present life. They are zero while that has not
+	// described itself.
 	Fleet    string
 	Labels   []string
 	Capacity jobs.Size
+	// Revision is the agent's number of the description, which launches name.
+	Revision uint64
 	// ReportedFree is the free capacity in the agent's last report. It may be negative.
 	ReportedFree jobs.Size
 	// Speed is the ratio of the callers' estimates to the actual run times on this
--- a/internal/runner/frames.go
+++ b/internal/runner/frames.go
@@ -17,9 +17,10 @@
 	now := a.clock.Now()
 	if w := a.supervisor.Worker; a.supervisor.Confirmed() {
 		onProbation, ejected := a.supervisor.Probation(now)
-		if l.reportedWorker == nil || !l.reportedWorker.SameExceptDraining(*w) {
-			m.Worker = &wire.RoomWorker{Id: w.ID, Fleet: w.Fleet, Labels: w.Labels, Capacity: link.EncodeSize(w.Capacity)}
-			l.reportedWorker = w
+		if l.reportedRevision != w.Revision {
+			m.Worker = &wire.RoomWorker{Id: w.ID, Fleet: w.Fleet, Labels: w.Labels, Capacity: link.EncodeSize(w.Capacity),
+				Revision: w.Revision}
+			l.reportedRevision = w.Revision
 		}
 		m.Free = link.EncodeSize(a.supervisor.Free())
 		m.Speed = a.supervisor.Speed
@@ -49,6 +50,8 @@
 			ExpectedMS:  clock.Millis(m.GetExpectedMs()),
 			LatestStart: latestStart,
 			HoldMS:      clock.Millis(m.GetHoldMs()),
+			Revision:    m.GetRevision(),
+			Claim:       m.GetClaim(),
 		})
 	}
 	return out
--- a/internal/runner/links.go
+++ b/internal/runner/links.go
@@ -20,8 +20,8 @@
 	link *link.Link
 	// lastLaunch is the number of the newest launch received on the link.
 	lastLaunch uint64
-	// reportedWorker is the worker last reported on the link.
-	reportedWorker *runs.Worker
+	// reportedRevision is that of the worker's description last reported on the link; zero without one.
+	reportedRevision uint64
 }
 
 // queryEntries queries the store for the list of entries, more often while there is no link.
--- a/internal/runner/logs.go
+++ b/internal/runner/logs.go
@@ -76,16 +76,22 @@
 		slog.Int64("lease_left_ms", int64(max(a.renewedUntil-a.clock.Now(), 0))))
 }
 
-// logEnd logs the end of a run. A run that had not been started was queued for milliseconds.
+// logEnd logs the end of a run. A run that had not been started was queued for milliseconds, or was
+// returned because its entry had placed it by an outdated description of the worker.
 func (a *Agent) logEnd(e runs.Ended) {
 	level := slog.LevelInfo
 	if e.End.Outcome == jobs.OutcomeDone || e.Run.Status == runs.Queued {
 		level = dlog.LevelOrdinary
 	}
+	outdated := e.Run.Status == runs.Queued && e.Run.Revision != a.presentWorker().Revision
+	if outdated {
+		a.metrics.recordOutdated()
+	}
 	a.logRun(level, "run over", e.Run, slog.String("end", e.End.Outcome.String()), slog.String("status", e.Run.Status.String()),
 		slog.Int64("ran_ms", int64(e.End.RanMS)), slog.Int64("started_ms_ago", a.startedAgo(e.Run)),
 		slog.Bool("stopping", e.Run.Stopping), slog.Bool("stop_acked", e.Run.StopAckedAt > 0),
-		slog.Int("unanswered", e.Run.UnansweredStarts), slog.Bool("claimed", e.Run.Claimed))
+		slog.Int("unanswered", e.Run.UnansweredStarts), slog.Bool("claimed", e.Run.Claimed),
+		slog.Bool("outdated", outdated))
 }
 
 // startedAgo returns the time since the last start of a run was sent, or -1 without one.
--- a/internal/runner/metrics.go
+++ b/internal/runner/metrics.go
@@ -42,6 +42,10 @@
 	m.set.GetOrCreateCounter("turmericbarrow_announcements_refuted_total").Add(n)
 }
 
+func (m *Metrics) recordOutdated() {
+	m.set.GetOrCreateCounter("turmericbarrow_runs_outdated_total").Inc()
+}
+
 func (m *Metrics) recordOffer() {
 	m.set.GetOrCreateCounter("turmericbarrow_offers_total").Inc()
 }
@@ -67,6 +71,7 @@
 	Speed        float64
 	OnProbation  bool
 	Unreachable  bool
+	Undescribed  bool
 	ZoneDrained  bool
 	Entries      int
 	// EntriesWaiting is the number of entries at which a job waits for this worker.
@@ -91,6 +96,7 @@
 		"turmericbarrow_worker_speed":       g.Speed,
 		"turmericbarrow_worker_on_trial":    boolValue(g.OnProbation),
 		"turmericbarrow_worker_unreachable": boolValue(g.Unreachable),
+		"turmericbarrow_worker_undescribed": boolValue(g.Undescribed),
 		"turmericbarrow_zone_drained":       boolValue(g.ZoneDrained),
 		"turmericbarrow_links_entries":      float64(g.Entries),
 		"turmericbarrow_entries_waiting":    float64(g.EntriesWaiting),
@@ -125,6 +131,6 @@
 func (a *Agent) gauges() Gauges {
 	onProbation, _ := a.supervisor.Probation(a.clock.Now())
 	return Gauges{Held: a.supervisor.Held(), Reserved: a.supervisor.HeldForCapacity(), FreeMilliCPU: a.supervisor.Free().MilliCPU, Speed: a.supervisor.Speed,
-		OnProbation: onProbation, Unreachable: a.supervisor.Unreachable, ZoneDrained: a.supervisor.ZoneDrained, Entries: len(a.links),
+		OnProbation: onProbation, Unreachable: a.supervisor.Unreachable, Undescribed: a.supervisor.IsUndescribed(), ZoneDrained: a.supervisor.ZoneDrained, Entries: len(a.links),
 		EntriesWaiting: a.book.Waiting()}
 }
--- a/internal/runner/record.go
+++ b/internal/runner/record.go
@@ -111,10 +111,9 @@
 		return
 	}
 	a.recordWriter.saved, a.recordWriter.savedKnown = w, true
-	if a.supervisor.Confirmed() {
-		return
+	if !a.supervisor.Confirmed() || a.supervisor.IsUndescribed() {
+		a.log.Info("worker known from its record", "worker", w.ID, "life", w.Epoch, "fleet", w.Fleet)
 	}
-	a.log.Info("worker known from its record", "worker", w.ID, "life", w.Epoch, "fleet", w.Fleet)
 	a.supervisor.Restore(*w)
 }
 
@@ -136,12 +135,14 @@
 }
 
 // workerToRecord returns the worker to be recorded, or nil if there is none or it has
-// deregistered. Until a poll has confirmed the worker, it replaces no record.
+// deregistered. Until a poll has confirmed the worker, it replaces no record, and neither does a life
+// that has not described itself: the next process would take the record for its description.
 func (a *Agent) workerToRecord() *runs.Worker {
 	if a.supervisor.Worker == nil || a.supervisor.Departed {
 		return nil
 	}
-	if writer := a.recordWriter; !a.supervisor.Confirmed() && (writer.loading || writer.saved != nil) {
+	writer := a.recordWriter
+	if a.supervisor.IsUndescribed() || !a.supervisor.Confirmed() && (writer.loading || writer.saved != nil) {
 		return writer.saved
 	}
 	w := *a.supervisor.Worker
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -547,8 +547,12 @@
 		a.log.Info("worker up", "worker", w.ID, "life", w.Epoch, "fleet", w.Fleet, "milli_cpu", w.Capacity.MilliCPU,
 			"confirmed", a.supervisor.Confirmed())
 	case w.ID != "":
-		a.log.Info("a poll shows a new life of the worker", "worker", w.ID, "life", w.Epoch, "earlier", before.Epoch,
-			"held", a.supervisor.Held())
+		a.log.Info("a poll shows a new life of the worker", "worker", w.ID, "life", w.Epoch, "earlier_worker", before.ID,
+			"earlier", before.Epoch, "held", a.supervisor.Held())
+	}
+	if w.Described && !before.Described && w.Identity() == before.Identity() {
+		a.log.Info("worker described", "worker", w.ID, "life", w.Epoch, "fleet", w.Fleet, "labels", w.Labels,
+			"milli_cpu", w.Capacity.MilliCPU, "revision", w.Revision)
 	}
 	if w.Draining && !before.Draining {
 		a.log.Info("worker draining", "worker", w.ID, "held", a.supervisor.Held())
--- a/internal/runs/announcements.go
+++ b/internal/runs/announcements.go
@@ -17,6 +17,9 @@
 	ClockMS clock.Millis
 }
 
+// recordSequence stands for the sequence number of a record, which is older than any announcement.
+const recordSequence = -1
+
 // Verdict is what became of an announcement.
 type Verdict int
 
@@ -78,7 +81,7 @@
 // update applies an announcement of the present worker, unless it is late or contradicts those
 // before it.
 func (s *Supervisor) update(m Announcement, now clock.Millis) Verdict {
-	if !s.isNewer(m) {
+	if s.Worker.Described && !s.isNewer(m) {
 		return Ignored
 	}
 	if s.contradicts(m, now) {
@@ -88,12 +91,11 @@
 	old := s.Worker
 	isFirst := s.announced < 0
 	s.announced, s.announcedClockMS, s.announcedAt = m.Sequence, m.ClockMS, now
-	s.isDescribed = true
 	w := m.Worker
-	w.Token, w.AckedEnd = old.Token, old.AckedEnd
-	s.Worker = &w
-	s.NotifyNow = s.NotifyNow || old.Draining != w.Draining || old.Capacity != w.Capacity || old.Fleet != w.Fleet
-	if isFirst || !w.Draining {
+	w.Token, w.AckedEnd, w.Described = old.Token, old.AckedEnd, true
+	s.setWorker(w, now)
+	s.NotifyNow = s.NotifyNow || old.Draining != w.Draining
+	if m.Sequence != recordSequence && (isFirst || !w.Draining) {
 		// A worker announces that it drains before it leaves, so this one has not left.
 		s.endDeparture()
 	}
@@ -122,7 +124,7 @@
 // worker's better holds, and otherwise the earlier one until it has not been announced for
 // contradictionMS.
 func (s *Supervisor) contradicts(m Announcement, now clock.Millis) bool {
-	if !s.isDescribed || m.Worker.SameExceptDraining(*s.Worker) || now-s.announcedAt >= contradictionMS {
+	if !s.Worker.Described || m.Worker.SameExceptDraining(*s.Worker) || now-s.announcedAt >= contradictionMS {
 		return false
 	}
 	if s.announced < 0 || s.answeredClockMS == 0 {
@@ -138,11 +140,11 @@
 	return max(difference, -difference)
 }
 
-// checkAnnouncedClock forgets that an announcement was applied whose clock the worker's clock has
-// not reached: another writer sent it. The description stays until the worker's next announcement.
-func (s *Supervisor) checkAnnouncedClock(clockMS clock.Millis) {
+// checkAnnouncedClock drops a description whose announcement shows a time that the worker's clock has
+// not reached: another writer sent it.
+func (s *Supervisor) checkAnnouncedClock(clockMS, now clock.Millis) {
 	if clockMS > 0 && s.announcedClockMS > clockMS+clockToleranceMS {
-		s.announced, s.announcedClockMS, s.isDescribed = -1, 0, false
+		s.forgetDescription(now)
 	}
 }
 
--- a/internal/runs/epochs.go
+++ b/internal/runs/epochs.go
@@ -22,15 +22,16 @@
 	}
 }
 
-// startNewEpoch retires the worker's earlier epoch, draws a fencing token for the present one,
-// forgets the orphaned runs, and resets the worker's speed and health. The held runs stay until
+// startNewEpoch makes another life the present one. It has no description until its first
+// announcement is applied. startNewEpoch retires the earlier epoch, draws a fencing token for the new
+// one, forgets the orphaned runs, and resets the worker's speed and health. The held runs stay until
 // a poll resolves them: the new epoch may have accepted a start or a stop that was sent before it
-// was known here.
-func (s *Supervisor) startNewEpoch(earlier int64, now clock.Millis) {
-	s.retireEpoch(earlier, now)
-	s.Worker.Token, s.Worker.AckedEnd = s.nextToken(s.Worker.Epoch), 0
+// was known here. Queued ones are returned.
+func (s *Supervisor) startNewEpoch(next Identity, now clock.Millis) {
+	s.retireEpoch(s.Worker.Epoch, now)
+	s.setWorker(Worker{ID: next.ID, Epoch: next.Epoch, Token: s.nextToken(next.Epoch)}, now)
 	s.announced, s.announcedClockMS = -1, 0
-	s.departureRefuted, s.isDescribed = false, false
+	s.departureRefuted = false
 	for _, run := range s.runs {
 		run.StopAckedAt = 0
 		run.MissingSince = 0
--- a/internal/runs/identity.go
+++ b/internal/runs/identity.go
@@ -22,10 +22,10 @@
 // introduce makes the sender of an announcement the worker. It stays unconfirmed until a poll
 // that names it has been answered and has listed the runs that an earlier agent process started.
 func (s *Supervisor) introduce(m Announcement, now clock.Millis) {
-	m.Worker.Token = s.nextToken(m.Worker.Epoch)
-	s.Worker = &m.Worker
+	m.Worker.Token, m.Worker.Described = s.nextToken(m.Worker.Epoch), true
+	s.setWorker(m.Worker, now)
 	s.announced, s.announcedClockMS, s.announcedAt = m.Sequence, m.ClockMS, now
-	s.unconfirmed, s.isDescribed = true, true
+	s.unconfirmed = true
 	s.doubted, s.Departed, s.departureRefuted = false, false, false
 	s.answeredClockMS = 0
 	s.epochSince = now
@@ -72,24 +72,19 @@
 	if p.Epoch < s.Worker.Epoch && p.SentAt <= s.epochSince || slices.Contains(s.retiredEpochs, p.Epoch) {
 		return false
 	}
-	earlier := s.Worker.Epoch
-	s.Worker.Epoch = p.Epoch
-	s.startNewEpoch(earlier, now)
+	s.startNewEpoch(Identity{ID: s.Worker.ID, Epoch: p.Epoch}, now)
 	return true
 }
 
-// replaceWorker makes the worker that has answered a poll under another id the present one. It
-// has no capacity until an announcement of it is applied.
+// replaceWorker makes the worker that has answered a poll under another id the present one.
 func (s *Supervisor) replaceWorker(p PollResult, now clock.Millis) {
-	w := Worker{ID: p.SentID, Epoch: p.Epoch}
+	next := Identity{ID: p.SentID, Epoch: p.Epoch}
 	for _, m := range s.pending {
-		if m.Worker.ID == w.ID && w.Epoch == 0 {
-			w.Epoch = m.Worker.Epoch // the answer names no epoch
+		if m.Worker.ID == next.ID && next.Epoch == 0 {
+			next.Epoch = m.Worker.Epoch // the answer names no epoch
 		}
 	}
-	earlier := s.Worker.Epoch
-	s.Worker = &w
-	s.startNewEpoch(earlier, now)
+	s.startNewEpoch(next, now)
 }
 
 // HandleMisdirected handles a poll that was refused because the worker at the address has another
--- a/internal/runs/orphans.go
+++ b/internal/runs/orphans.go
@@ -30,14 +30,18 @@
 
 // Restore sets the worker that an earlier agent process recorded in the store. If one has
 // already announced itself and is unconfirmed, the recorded one is kept as if it had announced
-// itself too. The worker accepts no runs until a poll has confirmed its epoch and each run that
+// itself too. A confirmed worker without a description takes that of a record of its life. The worker
+// accepts no runs until a poll has confirmed its epoch and each run that
 // it still executes has been claimed by an entry or, once claimWindowMS have passed, been sent a
 // stop.
 func (s *Supervisor) Restore(w Worker) {
+	m := Announcement{Worker: w, Sequence: recordSequence}
 	if s.Confirmed() {
+		if s.IsUndescribed() && w.Identity() == s.Worker.Identity() {
+			s.update(m, s.lastPollAt)
+		}
 		return
 	}
-	m := Announcement{Worker: w, Sequence: -1}
 	if s.Worker != nil {
 		s.await(m, 0)
 		return
--- a/internal/runs/polls.go
+++ b/internal/runs/polls.go
@@ -57,7 +57,7 @@
 	s.updateOrphans(p)
 	s.failedPolls, s.doubted = 0, false
 	s.lastPollAt, s.answeredClockMS = now, p.ClockMS
-	s.checkAnnouncedClock(p.ClockMS)
+	s.checkAnnouncedClock(p.ClockMS, now)
 	s.checkDeparture(p)
 	s.Worker.AckedEnd = max(s.Worker.AckedEnd, p.LastEnd)
 	if s.Unreachable {
--- a/internal/runs/releases.go
+++ b/internal/runs/releases.go
@@ -37,7 +37,7 @@
 
 // recordSize records whether a requested run is large for the worker.
 func (s *Supervisor) recordSize(size jobs.Size, now clock.Millis) {
-	if s.Worker != nil && float64(size.MilliCPU) >= largeFraction*float64(s.Worker.Capacity.MilliCPU) {
+	if s.Worker != nil && s.Worker.Described && float64(size.MilliCPU) >= largeFraction*float64(s.Worker.Capacity.MilliCPU) {
 		s.largeUntil = now + largeMemoryMS
 	}
 }
--- a/internal/runs/run.go
+++ b/internal/runs/run.go
@@ -7,7 +7,7 @@
 	"github.com/turmericbarrow/turmericbarrow/internal/jobs"
 )
 
-// Worker is a worker as it described itself in its announcement.
+// Worker is one life of a worker, and its description of itself.
 type Worker struct {
 	ID string
 	// Epoch differs with each start of the worker; runs of an earlier epoch are gone. It is a
@@ -19,14 +19,22 @@
 	// AckedEnd is the number of the last end of this epoch that was handled, which polls
 	// acknowledge; zero after a failed poll.
 	AckedEnd int64
+	// Fleet, Labels and Capacity are the description. They are those of this life, and zero
+	// until it is Described.
 	Fleet    string
 	Labels   []string
 	Capacity jobs.Size
 	// Draining workers accept no new runs.
 	Draining bool
+	// Described is set once an announcement or the record of this life has been applied.
+	Described bool
+	// Revision is the number of the description in this agent process, from 1 on. It differs
+	// for two lives, even if they describe themselves alike.
+	Revision uint64
 }
 
-// SameExceptDraining reports whether w and o are equal apart from Draining.
+// SameExceptDraining reports whether w and o are the same life with the same description. Either may
+// drain.
 func (w Worker) SameExceptDraining(o Worker) bool {
 	return w.ID == o.ID && w.Epoch == o.Epoch && w.Fleet == o.Fleet && w.Capacity == o.Capacity &&
 		slices.Equal(w.Labels, o.Labels)
@@ -62,6 +70,11 @@
 	Queue   string
 	Payload string
 	Size    jobs.Size
+	// Revision is that of the description by which the entry has placed the run. Launch sets it to
+	// the present one if it is zero, which entries of earlier versions send.
+	Revision uint64
+	// Claim is set if the run is one of an earlier agent process. It is not started here.
+	Claim bool
 	// ExpectedMS is the expected run time on a worker of speed 1.
 	ExpectedMS clock.Millis
 	// LatestStart is the latest time at which the run's job can start and still meet its
--- a/internal/runs/starts.go
+++ b/internal/runs/starts.go
@@ -8,8 +8,8 @@
 )
 
 // Launch handles the runs that an entry requests: it claims the orphaned ones, queues the
-// others, and starts those that fit. While the worker accepts no runs, the others end as
-// not run.
+// others, and starts those that fit. While the worker accepts no runs, or if they were placed by
+// another description, the others end as not run.
 func (s *Supervisor) Launch(runs []Run, now clock.Millis) {
 	for i := range runs {
 		run := runs[i]
@@ -19,6 +19,9 @@
 		s.recordSize(run.Size, now)
 		run.Status = Queued
 		run.QueuedAt = now
+		if run.Revision == 0 && s.Worker != nil {
+			run.Revision = s.Worker.Revision
+		}
 		k := runKey{run.Ref, run.Entry}
 		if held := s.runs[k]; held != nil {
 			held.requestAgain(run.Number)
@@ -31,7 +34,7 @@
 		if !run.Superseded {
 			s.stopOlderRuns(run, now)
 		}
-		if run.Superseded || s.RefusesRuns() && !s.earlierRunAtWorker(&run) {
+		if run.Superseded || s.refuses(&run) && !s.earlierRunAtWorker(&run) {
 			s.end(&run, jobs.OutcomeNotRun, 0, false, now)
 		}
 	}
@@ -47,11 +50,19 @@
 	}
 }
 
+// refuses reports whether a requested run is not to be queued here.
+func (s *Supervisor) refuses(run *Run) bool {
+	return !s.isPlaced(run) || s.RefusesRuns()
+}
+
 // RefusesRuns reports whether new runs are refused at present: the agent or the zone drains, or
-// the worker is missing, unconfirmed, draining, deregistered, unreachable or executing orphaned
-// runs.
+// the worker is missing, unconfirmed, not described, draining, deregistered, unreachable or
+// executing orphaned runs.
 func (s *Supervisor) RefusesRuns() bool {
-	return s.StoppedAccepting || s.Departed || s.ZoneDrained || s.Worker == nil || s.unconfirmed || s.Worker.Draining || s.Unreachable || s.HasRunningOrphans()
+	if s.StoppedAccepting || s.Departed || s.ZoneDrained || s.Worker == nil || s.unconfirmed {
+		return true
+	}
+	return !s.Worker.Described || s.Worker.Draining || s.Unreachable || s.HasRunningOrphans()
 }
 
 // returnQueued ends the queued runs as not run, but for those that wait for an earlier run.
@@ -75,7 +86,8 @@
 	}
 }
 
-// startQueued starts queued runs by latest start time, up to the first that does not fit.
+// startQueued starts queued runs by latest start time, up to the first that does not fit. Those placed
+// by another description wait for an earlier run, and are returned once that has ended.
 func (s *Supervisor) startQueued(now clock.Millis) {
 	if s.RefusesRuns() || s.leaseEnd(now, StartLeaseMS) < now+minStartLeaseMS {
 		return
@@ -83,10 +95,11 @@
 	free := s.Worker.Capacity
 	var queued []*Run
 	for _, run := range s.runs {
-		if run.Status == Queued {
-			queued = append(queued, run)
-		} else {
+		switch {
+		case run.Status != Queued:
 			free = free.Minus(run.Size)
+		case s.isPlaced(run):
+			queued = append(queued, run)
 		}
 	}
 	sort.Slice(queued, func(i, j int) bool { return startsBefore(queued[i], queued[j]) })
@@ -165,7 +178,7 @@
 	case StartUnanswered:
 		run.UnansweredStarts++
 		s.unansweredAt = now
-		if run.UnansweredStarts < maxUnansweredStarts && !run.Stopping && !s.ZoneDrained && !s.HasRunningOrphans() {
+		if s.mayRepeatStart(run) {
 			// Starts are idempotent: the worker confirms a run that it already has and refuses
 			// one that has ended.
 			s.sendStart(run, now)
@@ -189,6 +202,15 @@
 	s.startQueued(now)
 }
 
+// mayRepeatStart reports whether an unanswered start is repeated. One that was placed by another
+// description, or sent to an earlier epoch, is not: the present life may be of another kind.
+func (s *Supervisor) mayRepeatStart(run *Run) bool {
+	if !s.isPlaced(run) || s.isOfEarlierEpoch(run) {
+		return false
+	}
+	return run.UnansweredStarts < maxUnansweredStarts && !run.Stopping && !s.ZoneDrained && !s.HasRunningOrphans()
+}
+
 // markUnknown marks a run that the worker may or may not have as Unknown and to be stopped:
 // the expiry of the lease would resolve its state as well, but a stop does so sooner.
 func (s *Supervisor) markUnknown(run *Run) {
--- a/internal/runs/supervisor.go
+++ b/internal/runs/supervisor.go
@@ -100,8 +100,8 @@
 	// it arrived, or when the worker of a record was confirmed.
 	announcedClockMS clock.Millis
 	announcedAt      clock.Millis
-	// isDescribed is set while the description of the worker is one of its present life.
-	isDescribed bool
+	// revision is that of the last description in force.
+	revision uint64
 	// answeredClockMS is the time on the worker's clock in the last answered poll; zero if that
 	// is not known.
 	answeredClockMS clock.Millis
--- a/internal/sched/links.go
+++ b/internal/sched/links.go
@@ -313,8 +313,9 @@
 	}
 	if reported := m.GetWorker(); reported != nil {
 		w.ID, w.Fleet, w.Labels, w.Capacity = reported.GetId(), reported.GetFleet(), reported.GetLabels(), link.DecodeSize(reported.GetCapacity())
+		w.Revision = reported.GetRevision()
 	} else if previous := e.scheduler.Workers[w.Agent]; previous != nil {
-		w.ID, w.Fleet, w.Labels, w.Capacity = previous.ID, previous.Fleet, previous.Labels, previous.Capacity
+		w.ID, w.Fleet, w.Labels, w.Capacity, w.Revision = previous.ID, previous.Fleet, previous.Labels, previous.Capacity, previous.Revision
 	}
 	// An agent that knows no worker yet sends a report without a description.
 	w.Closed = m.GetClosed() || w.ID == ""
@@ -348,6 +349,8 @@
 		SlackMs:    proto.Int64(a.LatestStart - int64(now)),
 		Queue:      a.Queue,
 		HoldMs:     int64(a.HoldMS),
+		Revision:   a.Revision,
+		Claim:      a.Claim,
 	}
 	for _, t := range a.Tasks {
 		m.Tasks = append(m.Tasks, &wire.RunTask{Step: int32(t.ID.Step), Index: int32(t.ID.Index), Run: t.Run})
--- a/internal/sched/sched_test.go
+++ b/internal/sched/sched_test.go
@@ -147,6 +147,24 @@
 	require.False(t, second.Worker.Closed)
 }
 
+// Guards against an entry that believes the description of an earlier life: one without a description
+// replaces it. Launches name the revision by which they are placed.
+func TestReportOfAnUndescribedLifeReplacesTheDescription(t *testing.T) {
+	e := newTestEntry(t)
+	agent := host.Host{Name: "a", Incarnation: "i", Role: host.RoleAgent}
+	e.scheduler.UpdateWorker(e.decodeReport(agent, &wire.Room{Worker: &wire.RoomWorker{Id: "w", Fleet: "f",
+		Labels: []string{"l"}, Capacity: &wire.Size{MilliCpu: 4000}, Revision: 1}}), 0)
+	e.scheduler.UpdateWorker(e.decodeReport(agent, &wire.Room{Closed: true, Worker: &wire.RoomWorker{Id: "w", Revision: 2}}), 1)
+	for range 2 {
+		w := e.decodeReport(agent, &wire.Room{Closed: true}).Worker
+		require.Equal(t, place.Worker{Agent: "i", Host: "a", ID: "w", Revision: 2, Speed: w.Speed, Closed: true}, w)
+		e.scheduler.UpdateWorker(place.Report{Worker: w}, 2)
+	}
+	f := launchFrame(place.Launch{Revision: 2, Claim: true}, 0).GetLaunch()
+	require.Equal(t, uint64(2), f.GetRevision())
+	require.True(t, f.GetClaim())
+}
+
 func newTestEntry(t *testing.T) *Entry {
 	self := host.Host{Name: "e", Incarnation: host.NewIncarnation(), Role: host.RoleEntry}
 	e := New(Settings{Self: self}, clock.New(), noTerms{}, fakeMembers{joins: make(chan struct{}, 1000)}, slog.New(slog.NewTextHandler(io.Discard, nil)))
