runs, runner: Nothing is started while another life may be at the address

Seen: between a crash and the first answer of the next life, starts by the earlier description reached the new life; a poll could wait there for 250 ms before it was answered. Cause: a failed poll, or a start refused with 421, changed nothing for starts, and the poll that followed was allowed to wait for the end of a run. Change: from a failed poll or a misdirected start until the next answered poll nothing is started, and polls do not wait. An unanswered start is repeated once an answer has proved the life. A misdirected start has an outcome of its own (not run, in place of refused, which doubles the run number).

--- a/internal/runner/calls.go
+++ b/internal/runner/calls.go
@@ -122,7 +122,11 @@
 		a.log.Info("start not done", "job", string(r.run.Ref.Job), "task", r.run.Ref.Task.String(),
 			"run", r.run.Number, "answer", int(r.outcome))
 	}
-	a.supervisor.HandleStartOutcome(r.run.Ref, r.run.Entry, r.run.Number, r.outcome, a.clock.Now())
+	now := a.clock.Now()
+	a.supervisor.HandleStartOutcome(r.run.Ref, r.run.Entry, r.run.Number, r.outcome, now)
+	if r.outcome == runs.StartMisdirected {
+		a.nextPollAt = min(a.nextPollAt, now)
+	}
 }
 
 func (a *Agent) stopRun(ctx context.Context, r runs.Run) {
@@ -165,6 +169,8 @@
 	switch {
 	case !a.supervisor.Confirmed() || a.supervisor.HasRunsOfEarlierEpoch() || a.supervisor.HasPendingAnnouncements():
 		wait = 0
+	case a.supervisor.IsUnproved():
+		wait = 0 // a worker that has started anew would hold back the answer that shows it
 	case a.supervisor.RunsAtWorker() == 0:
 		wait = idlePollWaitMS
 	case a.supervisor.Cautious(now):
--- a/internal/runner/description_test.go
+++ b/internal/runner/description_test.go
@@ -3,9 +3,13 @@
 import (
 	"context"
 	"testing"
+	"testing/synctest"
+	"time"
 
+	"github.com/juju/errors"
 	"github.com/stretchr/testify/require"
 
+	"github.com/turmericbarrow/turmericbarrow/internal/clock"
 	"github.com/turmericbarrow/turmericbarrow/internal/host"
 	"github.com/turmericbarrow/turmericbarrow/internal/link"
 	"github.com/turmericbarrow/turmericbarrow/internal/runs"
@@ -78,3 +82,43 @@
 	require.Equal(t, uint64(7), launched[0].Revision)
 	require.True(t, launched[0].Claim)
 }
+
+// failingWorker fails its first poll, and records how long each poll may wait.
+type failingWorker struct {
+	answeringWorker
+	waits chan clock.Millis
+}
+
+func (w failingWorker) Poll(ctx context.Context, target runs.Worker, until, wait clock.Millis) (runs.PollResult, error) {
+	w.waits <- wait
+	if len(w.waits) == 1 {
+		return runs.PollResult{}, errors.New("connection refused")
+	}
+	return w.answeringWorker.Poll(ctx, target, until, wait)
+}
+
+// Guards against a worker that has started anew and holds back the answer that shows it, since the poll
+// allows it to wait for the end of a run.
+func TestPollAfterAFailedOneDoesNotWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := failingWorker{waits: make(chan clock.Millis, 100)}
+		a := newConfirmedAgent(w)
+		for range 2 {
+			a.poll(t.Context())
+			a.onPollResult(t.Context(), <-a.pollResults)
+			time.Sleep(idleInterval)
+		}
+		require.Equal(t, idlePollWaitMS, <-w.waits)
+		require.Zero(t, <-w.waits)
+	})
+}
+
+// Guards against a start that another worker has refused and that is taken for one that the worker
+// refuses for good. A poll tells at once who is at the address.
+func TestMisdirectedStartCausesAPoll(t *testing.T) {
+	a := newConfirmedAgent(answeringWorker{})
+	a.nextPollAt = a.clock.Now() + clock.Second
+	a.activeCalls++
+	a.onStartResult(startResult{run: runs.Run{}, outcome: runs.StartMisdirected})
+	require.LessOrEqual(t, a.nextPollAt, a.clock.Now())
+}
--- a/internal/runner/metrics.go
+++ b/internal/runner/metrics.go
@@ -23,7 +23,7 @@
 
 var outcomeLabels = map[runs.StartOutcome]string{
 	runs.StartOK: "ok", runs.StartRefused: "refused", runs.StartNoCapacity: "no_room",
-	runs.StartUnhealthy: "unhealthy", runs.StartUnanswered: "unanswered",
+	runs.StartUnhealthy: "unhealthy", runs.StartUnanswered: "unanswered", runs.StartMisdirected: "misdirected",
 }
 
 func (m *Metrics) recordStart(outcome runs.StartOutcome) {
--- a/internal/runs/polls.go
+++ b/internal/runs/polls.go
@@ -55,7 +55,7 @@
 		return
 	}
 	s.updateOrphans(p)
-	s.failedPolls, s.doubted = 0, false
+	s.failedPolls, s.doubted, s.unproved = 0, false, false
 	s.lastPollAt, s.answeredClockMS = now, p.ClockMS
 	s.checkAnnouncedClock(p.ClockMS, now)
 	s.checkDeparture(p)
@@ -74,6 +74,7 @@
 	}
 	s.resolveUnlisted(p, listed, now)
 	s.settlePending(p, now)
+	s.repeatStarts(now)
 	s.stopOrphans(now)
 	s.startQueued(now)
 }
@@ -171,7 +172,7 @@
 	}
 	s.failedPolls++
 	s.unansweredAt = now
-	s.doubted = true
+	s.doubted, s.unproved = true, true
 	// The worker may have started anew meanwhile, and numbers its ends from 1 again.
 	s.Worker.AckedEnd = 0
 	if !s.unresponsive(now) {
--- a/internal/runs/run.go
+++ b/internal/runs/run.go
@@ -49,7 +49,8 @@
 	Queued Status = iota
 	// Starting: the start was sent to the worker, which has not answered.
 	Starting
-	// Unknown: the start was not answered; the worker may or may not have the run.
+	// Unknown: the start was not answered; the worker may or may not have the run. It is to be stopped,
+	// or its start to be repeated after the next answered poll.
 	Unknown
 	// Running: the worker confirmed the run.
 	Running
--- a/internal/runs/starts.go
+++ b/internal/runs/starts.go
@@ -65,6 +65,12 @@
 	return !s.Worker.Described || s.Worker.Draining || s.Unreachable || s.HasRunningOrphans()
 }
 
+// IsUnproved reports whether another life may be at the worker's address, so that nothing is started
+// before the next answer to a poll.
+func (s *Supervisor) IsUnproved() bool {
+	return s.unproved
+}
+
 // returnQueued ends the queued runs as not run, but for those that wait for an earlier run.
 func (s *Supervisor) returnQueued(now clock.Millis) {
 	for _, run := range s.sortedRuns() {
@@ -89,7 +95,7 @@
 // startQueued starts queued runs by latest start time, up to the first that does not fit. Those placed
 // by another description wait for an earlier run, and are returned once that has ended.
 func (s *Supervisor) startQueued(now clock.Millis) {
-	if s.RefusesRuns() || s.leaseEnd(now, StartLeaseMS) < now+minStartLeaseMS {
+	if s.RefusesRuns() || s.unproved || s.leaseEnd(now, StartLeaseMS) < now+minStartLeaseMS {
 		return
 	}
 	free := s.Worker.Capacity
@@ -158,12 +164,15 @@
 	StartUnhealthy
 	// StartUnanswered: the run may have started, or may start until its lease expires.
 	StartUnanswered
+	// StartMisdirected: as StartRefused, because another worker is at the address.
+	StartMisdirected
 )
 
 // refusalOutcomes maps the outcomes of a start that the worker did not execute to those of the
 // run.
 var refusalOutcomes = map[StartOutcome]jobs.Outcome{
 	StartRefused: jobs.OutcomeRefused, StartNoCapacity: jobs.OutcomeNotRun, StartUnhealthy: jobs.OutcomeNotRun,
+	StartMisdirected: jobs.OutcomeNotRun,
 }
 
 // HandleStartOutcome updates a run after the call that starts it has returned.
@@ -179,15 +188,16 @@
 		run.UnansweredStarts++
 		s.unansweredAt = now
 		if s.mayRepeatStart(run) {
-			// Starts are idempotent: the worker confirms a run that it already has and refuses
-			// one that has ended.
-			s.sendStart(run, now)
+			s.repeatStart(run, now)
 			return
 		}
 		s.markUnknown(run)
 	default:
-		if outcome == StartUnhealthy {
+		switch outcome {
+		case StartUnhealthy:
 			s.recordFailure(ref.Job, now)
+		case StartMisdirected:
+			s.unproved = true
 		}
 		if run.UnansweredStarts == 0 {
 			s.end(run, refusalOutcomes[outcome], 0, outcome == StartUnhealthy, now)
@@ -211,6 +221,33 @@
 	return run.UnansweredStarts < maxUnansweredStarts && !run.Stopping && !s.ZoneDrained && !s.HasRunningOrphans()
 }
 
+// repeatStart repeats an unanswered start, or lets repeatStarts do so after the next answered poll if
+// another life may be at the address. Starts are idempotent: the worker confirms a run that it already
+// has and refuses one that has ended.
+func (s *Supervisor) repeatStart(run *Run, now clock.Millis) {
+	if s.unproved {
+		run.Status = Unknown
+		return
+	}
+	run.Status = Starting
+	s.sendStart(run, now)
+}
+
+// repeatStarts repeats the unanswered starts that were put off until an answer to a poll, unless that
+// has listed the run or shown another life.
+func (s *Supervisor) repeatStarts(now clock.Millis) {
+	for _, run := range s.sortedRuns() {
+		switch {
+		case run.Status != Unknown || run.Stopping:
+		case s.mayRepeatStart(run):
+			s.repeatStart(run, now)
+		default:
+			s.markUnknown(run)
+			s.sendStop(run, now)
+		}
+	}
+}
+
 // markUnknown marks a run that the worker may or may not have as Unknown and to be stopped:
 // the expiry of the lease would resolve its state as well, but a stop does so sooner.
 func (s *Supervisor) markUnknown(run *Run) {
--- a/internal/runs/supervisor.go
+++ b/internal/runs/supervisor.go
@@ -119,6 +119,9 @@
 	// address, pollsPending while the last poll names the sender of a pending announcement.
 	doubted      bool
 	pollsPending bool
+	// unproved is set from a failed poll or a misdirected start until the next answered poll. Another
+	// life may be at the address meanwhile, so that nothing is started.
+	unproved bool
 	// epochSince is when the worker's present epoch became known.
 	epochSince clock.Millis
 	// retiredEpochs are the last epochs that were replaced by another one.
