place: A worker that is not described refuses no job

Cause: an entry that sees a worker without a description counts it in no fleet. A job that only this worker may fit would be refused on arrival as one that fits nowhere, or for drained zones. Change: while a worker outside drained zones has been undescribed for less than 4 s, such a job waits for its description, to its queue deadline at most. Jobs that others fit go there at once.

--- a/internal/place/drains.go
+++ b/internal/place/drains.go
@@ -22,7 +22,8 @@
 }
 
 // onlyInDrainedZones reports whether a step of j fits on workers in drained zones only. Workers that
-// are not known yet after a start of the entry may be in other zones.
+// are not known yet after a start of the entry may be in other zones, and those that are not described
+// may fit.
 func (s *Scheduler) onlyInDrainedZones(j *Job, now clock.Millis) bool {
 	if len(s.drains.Zones) == 0 || s.awaitsWorkers(j, now) {
 		return false
@@ -30,7 +31,10 @@
 	for _, st := range j.Spec.Steps {
 		drained, other := false, false
 		for _, w := range s.Workers {
-			if w.fitsWhenIdle(j.Queue.Fleet, st.Label, st.Size) {
+			switch {
+			case w.awaitsDescription(now):
+				other = true
+			case w.fitsWhenIdle(j.Queue.Fleet, st.Label, st.Size):
 				drained, other = drained || w.ZoneDrained, other || !w.ZoneDrained
 			}
 		}
--- a/internal/place/events.go
+++ b/internal/place/events.go
@@ -18,7 +18,15 @@
 func (s *Scheduler) UpdateWorker(r Report, now clock.Millis) {
 	w := r.Worker
 	w.ReportedAt = now
-	if old := s.Workers[w.Agent]; old != nil {
+	old := s.Workers[w.Agent]
+	switch {
+	case w.Fleet != "":
+	case old != nil && old.Fleet == "":
+		w.UndescribedSince = old.UndescribedSince
+	default:
+		w.UndescribedSince = now
+	}
+	if old != nil {
 		w.LastLaunch = old.LastLaunch
 		for _, u := range old.unacked {
 			if u.launch > r.AckedLaunch {
--- a/internal/place/reconcile.go
+++ b/internal/place/reconcile.go
@@ -23,7 +23,7 @@
 		return
 	}
 	if s.Workers[agent] == nil {
-		s.Workers[agent] = &Worker{Agent: agent, Host: host, Closed: true, Speed: 1}
+		s.Workers[agent] = &Worker{Agent: agent, Host: host, Closed: true, Speed: 1, UndescribedSince: now}
 	}
 	for _, j := range s.Jobs {
 		for _, t := range j.Tasks {
--- a/internal/place/submit.go
+++ b/internal/place/submit.go
@@ -69,8 +69,13 @@
 }
 
 // unservedReason returns why no known worker can ever run a step of j as things stand, or
-// ReasonNone.
+// ReasonNone. A worker that is not described may yet turn out to be one that can.
 func (s *Scheduler) unservedReason(j *Job, now clock.Millis) Reason {
+	for _, w := range s.Workers {
+		if w.awaitsDescription(now) {
+			return ReasonNone
+		}
+	}
 	fleetKnown := false
 	for _, st := range j.Spec.Steps {
 		fits := false
--- a/internal/place/worker.go
+++ b/internal/place/worker.go
@@ -23,6 +23,9 @@
 	Capacity jobs.Size
 	// Revision is the agent's number of the description, which launches name.
 	Revision uint64
+	// UndescribedSince is when the agent first reported that the worker is not described. It is valid
+	// while Fleet is empty.
+	UndescribedSince clock.Millis
 	// ReportedFree is the free capacity in the agent's last report. It may be negative.
 	ReportedFree jobs.Size
 	// Speed is the ratio of the callers' estimates to the actual run times on this
@@ -86,6 +89,16 @@
 	return !w.Closed && !w.ZoneDrained && !w.Ejected && w.DisconnectedAt == 0
 }
 
+// descriptionWaitMS is how long a job may wait for the description of a worker. It is more than two
+// intervals of a worker's announcements.
+const descriptionWaitMS clock.Millis = 4000
+
+// awaitsDescription reports whether the worker may soon turn out to be one that fits a job: it has
+// started anew and has not described itself.
+func (w *Worker) awaitsDescription(now clock.Millis) bool {
+	return w.Fleet == "" && !w.ZoneDrained && w.DisconnectedAt == 0 && now-w.UndescribedSince < descriptionWaitMS
+}
+
 // hasFreeCPU reports whether w accepts new tasks and has any processor time free. It
 // does not check memory and accelerators.
 func (w *Worker) hasFreeCPU() bool {
