runs: A worker that is silent for two polls is reported as closed

Cause: after a crash nothing is started before the next answer, but entries still saw free capacity there until the worker counted as unreachable, after 500 ms. Their tasks were returned after 5 ms, and could be sent there again. Change: after two failed polls in a row runs are refused and the entries are told. Measured: runs.TestSilentWorkerIsReportedAsClosed failed before.

--- a/internal/runs/description_test.go
+++ b/internal/runs/description_test.go
@@ -215,6 +215,25 @@
 	}
 }
 
+// Guards against jobs that are sent to a worker at whose address another life may be, and returned,
+// again and again until it counts as unreachable: entries are told to use others.
+func TestSilentWorkerIsReportedAsClosed(t *testing.T) {
+	s := newSupervisor()
+	s.Launch([]Run{newRun(entryA, "a", 0, 0), newRun(entryA, "b", 0, 0), newRun(entryA, "waits", 0, 1)}, 0)
+	s.TakeActions()
+	s.HandlePollFailure(lease, 1)
+	require.False(t, s.RefusesRuns(), "one poll may fail by chance")
+	s.NotifyNow = false
+	s.HandlePollFailure(lease, 2)
+	require.True(t, s.RefusesRuns())
+	require.True(t, s.NotifyNow)
+	require.Equal(t, []RunEnd{{Ref: ref("waits", 0), Number: 1, Outcome: jobs.OutcomeNotRun}}, takeEnds(s))
+	s.NotifyNow = false
+	s.HandlePoll(PollResult{ClockMS: 4, SentAt: 3, SentID: "w", SentEpoch: 1, Epoch: 1}, 4)
+	require.False(t, s.RefusesRuns())
+	require.True(t, s.NotifyNow)
+}
+
 // Guards against a claim that starts a task: the entry claims a run of an earlier agent process by
 // what it knew of the worker then.
 func TestClaimStartsNothing(t *testing.T) {
--- a/internal/runs/polls.go
+++ b/internal/runs/polls.go
@@ -55,6 +55,7 @@
 		return
 	}
 	s.updateOrphans(p)
+	s.NotifyNow = s.NotifyNow || s.isSilent()
 	s.failedPolls, s.doubted, s.unproved = 0, false, false
 	s.lastPollAt, s.answeredClockMS = now, p.ClockMS
 	s.checkAnnouncedClock(p.ClockMS, now)
@@ -175,6 +176,10 @@
 	s.doubted, s.unproved = true, true
 	// The worker may have started anew meanwhile, and numbers its ends from 1 again.
 	s.Worker.AckedEnd = 0
+	if s.failedPolls == silentPolls {
+		s.NotifyNow = true
+		s.returnQueued(now)
+	}
 	if !s.unresponsive(now) {
 		return
 	}
@@ -210,6 +215,12 @@
 	return true
 }
 
+// isSilent reports whether so many polls have failed that runs are refused, so that their entries send
+// them to other workers.
+func (s *Supervisor) isSilent() bool {
+	return s.failedPolls >= silentPolls
+}
+
 // unresponsive reports whether so many polls have failed, over so long a time, that the
 // worker counts as unreachable.
 func (s *Supervisor) unresponsive(now clock.Millis) bool {
--- a/internal/runs/starts.go
+++ b/internal/runs/starts.go
@@ -56,13 +56,13 @@
 }
 
 // RefusesRuns reports whether new runs are refused at present: the agent or the zone drains, or
-// the worker is missing, unconfirmed, not described, draining, deregistered, unreachable or
+// the worker is missing, unconfirmed, not described, draining, deregistered, silent, unreachable or
 // executing orphaned runs.
 func (s *Supervisor) RefusesRuns() bool {
 	if s.StoppedAccepting || s.Departed || s.ZoneDrained || s.Worker == nil || s.unconfirmed {
 		return true
 	}
-	return !s.Worker.Described || s.Worker.Draining || s.Unreachable || s.HasRunningOrphans()
+	return !s.Worker.Described || s.Worker.Draining || s.Unreachable || s.isSilent() || s.HasRunningOrphans()
 }
 
 // IsUnproved reports whether another life may be at the worker's address, so that nothing is started
--- a/internal/runs/supervisor.go
+++ b/internal/runs/supervisor.go
@@ -193,6 +193,8 @@
 	// take longer than its caller estimated.
 	minOverdueJobs              = 3
 	noProgressMS   clock.Millis = 150
+	// After silentPolls consecutive failed polls the worker gets no runs. One may fail by chance.
+	silentPolls = 2
 	// After unreachablePolls consecutive failed polls over at least unreachableMS, the
 	// worker counts as unreachable. Its leases are no longer renewed, so that their expiry
 	// time is known.
