--- a/internal/runs/health.go
+++ b/internal/runs/health.go
@@ -7,6 +7,37 @@
 	"github.com/turmericbarrow/turmericbarrow/internal/jobs"
 )
 
+// Limits of the judgement of a worker.
+const (
+	// failedJobsToEject is the number of consecutive failed jobs that eject a worker.
+	failedJobsToEject = 3
+	// Consecutive ejections last from minEjectionMS to maxEjectionMS, each twice as long as
+	// the one before.
+	minEjectionMS = clock.Millis(1000)
+	maxEjectionMS = clock.Millis(8000)
+
+	// slowGain is the weight of a new sample in the running average of the speed's
+	// logarithm.
+	slowGain = 0.06
+	// fastGain is the weight in a second, faster average. It replaces the first one when
+	// the two differ by more than maxLogSpeedGap, since the worker's speed has then
+	// changed.
+	fastGain       = 0.25
+	maxLogSpeedGap = 0.5
+	minSpeed       = 0.02
+	maxSpeed       = 20.0
+	// A run is overdue after overdueFactor times its expected run time plus overdueMarginMS.
+	overdueFactor                = 1.5
+	overdueMarginMS clock.Millis = 30
+	// A worker is stalled when at least half of its runs are overdue, in at least
+	// minOverdueJobs jobs, and no run has ended for more than noProgressMS. A single job may
+	// take longer than its caller estimated.
+	minOverdueJobs              = 3
+	noProgressMS   clock.Millis = 150
+	// After silentPolls consecutive failed polls the worker gets no runs. One may fail by chance.
+	silentPolls = 2
+)
+
 // resetHealth clears the recorded failures and ends an ejection, probation or stall.
 func (s *Supervisor) resetHealth() {
 	s.FailedJobs = 0
--- a/internal/runs/polls.go
+++ b/internal/runs/polls.go
@@ -5,6 +5,23 @@
 	"github.com/turmericbarrow/turmericbarrow/internal/jobs"
 )
 
+// Limits of the judgement of missing runs and unanswered polls.
+const (
+	// lostAfterMS is how long a confirmed run may be missing from polls before it counts
+	// as lost.
+	lostAfterMS clock.Millis = 1500
+	// After unreachablePolls consecutive failed polls over at least unreachableMS, the
+	// worker counts as unreachable. Its leases are no longer renewed, so that their expiry
+	// time is known.
+	unreachablePolls              = 4
+	unreachableMS    clock.Millis = 500
+	// maxClockDrift is the factor by which the worker's clock may run slower than the
+	// agent's. Runs of an unreachable worker count as lost expiryMarginMS after their
+	// leases have expired by such a slow clock.
+	maxClockDrift  = 1.03
+	expiryMarginMS = clock.Millis(100)
+)
+
 // HandleStopAck records that the worker acknowledged a stop.
 func (s *Supervisor) HandleStopAck(ref jobs.TaskRef, entry string, number int64, now clock.Millis) {
 	run := s.runs[runKey{ref, entry}]
--- a/internal/runs/starts.go
+++ b/internal/runs/starts.go
@@ -7,6 +7,22 @@
 	"github.com/turmericbarrow/turmericbarrow/internal/jobs"
 )
 
+// Limits of queued runs and of starts.
+const (
+	// maxQueuedMS is how long a run is queued here before it is returned to its entry. The
+	// entry learns the free capacity at the same time and may know another worker.
+	maxQueuedMS clock.Millis = 5
+	// StartLeaseMS is the lease that a start carries; later polls extend it.
+	StartLeaseMS clock.Millis = 600
+	// maxUnansweredStarts is the number of unanswered starts after which the agent stops
+	// retrying the run: a healthy worker answers at least one of them.
+	maxUnansweredStarts = 3
+	// supersededMS is how long launches of a superseded entry are refused. It is longer than a
+	// launch takes that was sent before the entry learned of it, and shorter than the time after
+	// which callers resubmit a job.
+	supersededMS clock.Millis = 1000
+)
+
 // Launch handles the runs that an entry requests: it claims the orphaned ones, queues the
 // others, and starts those that fit. While the worker accepts no runs, or if they were placed by
 // another description, the others end as not run.
--- a/internal/runs/supervisor.go
+++ b/internal/runs/supervisor.go
@@ -143,68 +143,15 @@
 
 // Limits and intervals of an agent's decisions.
 const (
-	// maxQueuedMS is how long a run is queued here before it is returned to its entry. The
-	// entry learns the free capacity at the same time and may know another worker.
-	maxQueuedMS clock.Millis = 5
-	// StartLeaseMS is the lease that a start carries; later polls extend it.
-	StartLeaseMS clock.Millis = 600
 	// recentEndsMS is how long ends are kept to be repeated to an entry that reconnects.
 	recentEndsMS clock.Millis = 5000
-	// maxUnansweredStarts is the number of unanswered starts after which the agent stops
-	// retrying the run: a healthy worker answers at least one of them.
-	maxUnansweredStarts = 3
-	// supersededMS is how long launches of a superseded entry are refused. It is longer than a
-	// launch takes that was sent before the entry learned of it, and shorter than the time after
-	// which callers resubmit a job.
-	supersededMS clock.Millis = 1000
 	// cautiousMS is how long after an unanswered call further ones are expected.
 	cautiousMS clock.Millis = 2000
 	// stopRetryMS is the interval at which a stop is repeated until the run has ended.
 	stopRetryMS clock.Millis = 60
-	// lostAfterMS is how long a confirmed run may be missing from polls before it counts
-	// as lost.
-	lostAfterMS clock.Millis = 1500
 	// DisconnectGraceMS is how long the runs of a disconnected entry continue. Together
 	// with the link timeout it stays below the time after which callers resubmit a job.
 	DisconnectGraceMS clock.Millis = 50
-
-	// failedJobsToEject is the number of consecutive failed jobs that eject a worker.
-	failedJobsToEject = 3
-	// Consecutive ejections last from minEjectionMS to maxEjectionMS, each twice as long as
-	// the one before.
-	minEjectionMS = clock.Millis(1000)
-	maxEjectionMS = clock.Millis(8000)
-
-	// slowGain is the weight of a new sample in the running average of the speed's
-	// logarithm.
-	slowGain = 0.06
-	// fastGain is the weight in a second, faster average. It replaces the first one when
-	// the two differ by more than maxLogSpeedGap, since the worker's speed has then
-	// changed.
-	fastGain       = 0.25
-	maxLogSpeedGap = 0.5
-	minSpeed       = 0.02
-	maxSpeed       = 20.0
-	// A run is overdue after overdueFactor times its expected run time plus overdueMarginMS.
-	overdueFactor                = 1.5
-	overdueMarginMS clock.Millis = 30
-	// A worker is stalled when at least half of its runs are overdue, in at least
-	// minOverdueJobs jobs, and no run has ended for more than noProgressMS. A single job may
-	// take longer than its caller estimated.
-	minOverdueJobs              = 3
-	noProgressMS   clock.Millis = 150
-	// After silentPolls consecutive failed polls the worker gets no runs. One may fail by chance.
-	silentPolls = 2
-	// After unreachablePolls consecutive failed polls over at least unreachableMS, the
-	// worker counts as unreachable. Its leases are no longer renewed, so that their expiry
-	// time is known.
-	unreachablePolls              = 4
-	unreachableMS    clock.Millis = 500
-	// maxClockDrift is the factor by which the worker's clock may run slower than the
-	// agent's. Runs of an unreachable worker count as lost expiryMarginMS after their
-	// leases have expired by such a slow clock.
-	maxClockDrift  = 1.03
-	expiryMarginMS = clock.Millis(100)
 )
 
 // New returns the supervisor of a worker that has not announced itself. contactLeaseMS is the
