--- a/internal/runs/description_test.go
+++ b/internal/runs/description_test.go
@@ -34,9 +34,7 @@
 func TestNewLifeGetsNoRunsBeforeItsFirstAnnouncement(t *testing.T) {
 	for _, id := range []string{"w", "next"} {
 		t.Run(id, func(t *testing.T) {
-			s := newSupervisor()
-			m := &addressModel{present: *s.Worker, startedAt: -clock.Second}
-			m.poll(s)
+			s, m := newAddressModel()
 			before := *s.Worker
 			late := m.announcement(7)
 			m.startLife(nextLife(id))
@@ -72,9 +70,7 @@
 // A heartbeat of a new life changes nothing before an answer proves it. Otherwise another writer could
 // keep the worker from being used. The answer to the poll that it causes applies it.
 func TestAnnouncedLifeIsUsedByTheAnswerThatProvesIt(t *testing.T) {
-	s := newSupervisor()
-	m := &addressModel{present: *s.Worker, startedAt: -clock.Second}
-	m.poll(s)
+	s, m := newAddressModel()
 	m.startLife(nextLife("w"))
 	require.Equal(t, Pending, s.Announce(m.announcement(1), m.now))
 	require.False(t, s.RefusesRuns())
@@ -90,9 +86,7 @@
 	for name, next := range map[string]Worker{"another kind": nextLife("w"),
 		"same kind": {ID: "w", Epoch: 2, Fleet: alike.Fleet, Capacity: alike.Capacity}} {
 		t.Run(name, func(t *testing.T) {
-			s := newSupervisor()
-			m := &addressModel{present: *s.Worker, startedAt: -clock.Second}
-			m.poll(s)
+			s, m := newAddressModel()
 			earlier := s.Worker.Revision
 			m.startLife(next)
 			m.poll(s)
@@ -108,9 +102,7 @@
 // Guards against a queued run that starts on the worker's next life. A run that waits for an earlier
 // one of its task is returned once that has ended.
 func TestRunsQueuedAtTheChangeAreReturned(t *testing.T) {
-	s := newSupervisor()
-	m := &addressModel{present: *s.Worker, startedAt: -clock.Second}
-	m.poll(s)
+	s, m := newAddressModel()
 	s.Launch([]Run{newRun(entryA, "earlier", 0, 0)}, m.now)
 	answerStart(s, ref("earlier", 0), entryA, StartOK, m.now)
 	held := newRun(entryA, "held", 0, 2)
@@ -134,9 +126,7 @@
 // The run is lost once a poll shows that the life does not have it.
 func TestUnansweredStartIsNotRepeatedToAnotherLife(t *testing.T) {
 	for _, described := range []bool{false, true} {
-		s := newSupervisor()
-		m := &addressModel{present: *s.Worker, startedAt: -clock.Second}
-		m.poll(s)
+		s, m := newAddressModel()
 		s.Launch([]Run{newRun(entryA, "a", 0, 0)}, m.now)
 		s.TakeActions()
 		m.startLife(nextLife("w"))
@@ -154,9 +144,7 @@
 // Runs that the new life has accepted before it was known go on: they are at work, and a stop would
 // only delay their callers. They use capacity of the new description.
 func TestRunUnderWayCountsAgainstASmallerCapacity(t *testing.T) {
-	s := newSupervisor()
-	m := &addressModel{present: *s.Worker, startedAt: -clock.Second}
-	m.poll(s)
+	s, m := newAddressModel()
 	s.Launch([]Run{newRun(entryA, "a", 0, 0)}, m.now)
 	answerStart(s, ref("a", 0), entryA, StartOK, m.now)
 	m.startLife(nextLife("w"))
--- a/internal/runs/identity_test.go
+++ b/internal/runs/identity_test.go
@@ -19,6 +19,14 @@
 	now       clock.Millis
 }
 
+// newAddressModel returns a supervisor and the address of its worker, which has answered a poll.
+func newAddressModel() (*Supervisor, *addressModel) {
+	s := newSupervisor()
+	m := &addressModel{present: *s.Worker, startedAt: -clock.Second}
+	m.poll(s)
+	return s, m
+}
+
 // poll lets the supervisor send its next poll, and passes the result to it.
 func (m *addressModel) poll(s *Supervisor) {
 	m.now++
@@ -75,9 +83,7 @@
 func TestAnnouncementOfAnotherWriterChangesNothing(t *testing.T) {
 	for name := range foreignAnnouncements(Announcement{}) {
 		t.Run(name, func(t *testing.T) {
-			s := newSupervisor()
-			m := &addressModel{present: *s.Worker, startedAt: -clock.Second}
-			m.poll(s)
+			s, m := newAddressModel()
 			s.Launch([]Run{newRun(entryA, "a", 0, 0)}, m.now)
 			require.Len(t, takeStarts(s), 1)
 			before := *s.Worker
@@ -135,9 +141,7 @@
 // Guards against a worker whose heartbeats are ignored: another writer used its identity, with a
 // sequence number that the worker does not reach. A late heartbeat stays ignored.
 func TestSequenceOfAnotherWriterHidesNoAnnouncement(t *testing.T) {
-	s := newSupervisor()
-	m := &addressModel{present: *s.Worker, startedAt: -clock.Second}
-	m.poll(s)
+	s, m := newAddressModel()
 	late := m.announcement(2)
 	m.now += clock.Second
 	foreign := m.announcement(1 << 50)
@@ -177,9 +181,7 @@
 // departureMS, another writer has deregistered it.
 func TestDepartureIsEndedByAnswersUnlessTheWorkerDrains(t *testing.T) {
 	for _, draining := range []bool{false, true} {
-		s := newSupervisor()
-		m := &addressModel{present: *s.Worker, startedAt: -clock.Second}
-		m.poll(s)
+		s, m := newAddressModel()
 		leaving := m.announcement(1)
 		leaving.Worker.Draining = draining
 		s.Announce(leaving, m.now)
@@ -219,9 +221,7 @@
 // A worker may be replaced by one with another id, which refuses the polls that name the earlier
 // one. The earlier one's announcement may arrive late.
 func TestWorkerIsReplacedByOneWithAnotherID(t *testing.T) {
-	s := newSupervisor()
-	m := &addressModel{present: *s.Worker, startedAt: -clock.Second}
-	m.poll(s)
+	s, m := newAddressModel()
 	late := m.announcement(7)
 	s.Launch([]Run{newRun(entryA, "a", 0, 0)}, m.now)
 	s.TakeActions()
